--- /dev/null
+++ b/cmake/LacewingDependencies.cmake
@@ -0,0 +1,19 @@
+# Every outside library, once, under one name each.
+
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(absl REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(cxxopts REQUIRED)
+find_package(doctest REQUIRED)
+find_package(Boost REQUIRED)
+pkg_check_modules(jsoncpp REQUIRED IMPORTED_TARGET jsoncpp)
+pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(zmq REQUIRED IMPORTED_TARGET libzmq)
+pkg_check_modules(zstd REQUIRED IMPORTED_TARGET libzstd)
+pkg_check_modules(httplib REQUIRED IMPORTED_TARGET cpp-httplib)
+
+add_library(LacewingDoctest INTERFACE)
+target_link_libraries(LacewingDoctest INTERFACE doctest::doctest)
+add_library(Lacewing::Doctest ALIAS LacewingDoctest)
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,428 @@
+"""Runs the system with stand-ins on loopback and reports what callers saw.
+
+Every process is a plain child of this script and is ended by its process id,
+also when the script is interrupted.
+"""
+
+import argparse
+import json
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = ROOT / "build" / "release" / "bin"
+
+PLATFORM = "127.70.0.1:7002"
+FABRIC = "127.70.0.2:7000"
+GATEWAY = "127.70.0.3:7000"
+FLOW_HASH_KEY = "000102030405060708090a0b0c0d0e0f"
+POLL_SECONDS = 0.25
+READY_SECONDS = 30
+
+
+def http(method, url, body=None, timeout=3):
+    """Returns the text of an answer; raises OSError when there is none."""
+    data = None if body is None else body.encode()
+    request = urllib.request.Request(f"http://{url}", data=data, method=method)
+    with urllib.request.urlopen(request, timeout=timeout) as answer:
+        return answer.read().decode()
+
+
+def http_json(url):
+    """The JSON page at url; None when the process does not answer."""
+    try:
+        return json.loads(http("GET", url))
+    except (OSError, ValueError):
+        return None
+
+
+def read_document(path):
+    """The document and its value; comments stand on lines of their own."""
+    text = path.read_text()
+    return text, json.loads(re.sub(r"(?m)^\s*//.*$", "", text))
+
+
+class Processes:
+    """The children of this script, by name."""
+
+    def __init__(self, log_folder):
+        self.log_folder = log_folder
+        self.children = {}
+        self.killed = set()
+
+    def start(self, name, *command):
+        with open(self.log_folder / f"{name}.log", "ab") as log:
+            self.children[name] = subprocess.Popen(
+                [str(word) for word in command],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def send(self, name, number):
+        self.killed.add(name)
+        self.children[name].send_signal(number)
+
+    def wait(self, name, seconds):
+        return self.children[name].wait(timeout=seconds)
+
+    def check_alive(self):
+        """Raises when a child that was not told to stop has ended."""
+        for name, child in self.children.items():
+            if child.poll() not in (None, 0) and name not in self.killed:
+                raise RuntimeError(
+                    f"{name} ended with {child.returncode}; see "
+                    f"{self.log_folder}/{name}.log"
+                )
+
+    def stop_all(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, signal.SIG_IGN)
+        for child in self.children.values():
+            if child.poll() is None:
+                child.terminate()
+        deadline = time.monotonic() + 3
+        for child in self.children.values():
+            try:
+                child.wait(timeout=max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                child.kill()
+                child.wait()
+
+
+class Fleet:
+    """The instances of one user, as the platform lists them."""
+
+    def __init__(self, user, processes, folder):
+        self.processes = processes
+        self.folder = folder
+        self.document_path = ROOT / "examples" / user / "document.json"
+        self.text, self.document = read_document(self.document_path)
+        self.zones = [z for r in self.document["regions"] for z in r["zones"]]
+        self.instances = {}
+        self.targets = {}
+        number = 0
+        for service in self.document["services"]:
+            for target in service["targets"]:
+                number += 1
+                self.targets[target["name"]] = {
+                    "number": number,
+                    "zone": target["zone"],
+                    "service": service["name"],
+                }
+
+    def put_document(self, text):
+        http("PUT", f"{PLATFORM}/admin/documents/production", text)
+
+    def put_list(self):
+        body = json.dumps({"instances": list(self.instances.values())})
+        http("PUT", f"{PLATFORM}/admin/instances", body)
+
+    def settings(self, name, zone, address, extra):
+        value = {
+            "name": name,
+            "environment": "production",
+            "zone": zone,
+            "data": f"{address}:7000",
+            "control": f"{address}:7001",
+            "status": f"{address}:7002",
+            "configurationService": PLATFORM,
+            "flowHashKey": FLOW_HASH_KEY,
+            **extra,
+        }
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(value, indent=2))
+        return path
+
+    def list_instance(self, name, role, zone, address):
+        self.instances[name] = {
+            "name": name,
+            "role": role,
+            "zone": zone,
+            "data": f"{address}:7000",
+            "control": f"{address}:7001",
+            "state": "live",
+        }
+
+    def start_balancer(self, number):
+        name = f"balancer-{number}"
+        zone = self.zones[(number - 1) % len(self.zones)]
+        address = f"127.71.0.{number}"
+        path = self.settings(
+            name, zone, address, {"stopDelayMilliseconds": 1500}
+        )
+        self.processes.start(
+            name, BIN / "lacewingspread", "balancer", "--settings", path
+        )
+        self.list_instance(name, "balancer", zone, address)
+
+    def start_target(self, name, seed):
+        target = self.targets[name]
+        number = target["number"]
+        agent = f"127.72.0.{number}"
+        server = f"127.73.0.{number}"
+        self.processes.start(
+            f"backend-{name}", BIN / "standin", "backend",
+            "--listen", f"{server}:7000", "--agent", f"{agent}:7010",
+            "--control", f"{server}:7002", "--service", target["service"],
+            "--target", name, "--seed", seed + number,
+        )
+        self.start_agent(name)
+
+    def start_agent(self, name):
+        target = self.targets[name]
+        agent = f"127.72.0.{target['number']}"
+        path = self.settings(name, target["zone"], agent, {
+            "backendServer": f"127.73.0.{target['number']}:7000",
+            "backendPort": f"{agent}:7010",
+            "gateway": GATEWAY,
+        })
+        self.processes.start(
+            name, BIN / "lacewingspread", "agent", "--settings", path
+        )
+        self.list_instance(name, "target", target["zone"], agent)
+
+    def status(self, name):
+        address = self.instances[name]["data"].split(":")[0]
+        return http_json(f"{address}:7002/status")
+
+    def wait_ready(self):
+        """Waits until every process has its view and its memory."""
+        deadline = time.monotonic() + READY_SECONDS
+        for name in list(self.instances):
+            while time.monotonic() < deadline:
+                self.processes.check_alive()
+                page = self.status(name)
+                if page and page["ready"] and page.get("complete", True):
+                    break
+                time.sleep(0.1)
+            else:
+                raise RuntimeError(f"{name} is not ready")
+
+    def wait_revision(self, revision):
+        """Seconds until every listed process acts on the revision."""
+        start = time.monotonic()
+        names = [n for n, i in self.instances.items() if i["state"] == "live"]
+        while time.monotonic() - start < READY_SECONDS:
+            pages = [self.status(name) for name in names]
+            if all(p and p["revision"] >= revision for p in pages):
+                return time.monotonic() - start
+            time.sleep(0.05)
+        raise RuntimeError(f"revision {revision} is not in force everywhere")
+
+
+class LoadSampler(threading.Thread):
+    """Samples the open flows of every target while the callers run."""
+
+    def __init__(self, fleet):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.samples = {}
+        self.is_ended = threading.Event()
+
+    def run(self):
+        while not self.is_ended.wait(POLL_SECONDS):
+            loads = {}
+            for name, target in self.fleet.targets.items():
+                page = self.fleet.status(name)
+                if page and not page["leaving"]:
+                    loads.setdefault(target["service"], []).append(
+                        page["openFlows"]
+                    )
+            for service, flows in loads.items():
+                mean = sum(flows) / len(flows)
+                if mean > 0:
+                    self.samples.setdefault(service, []).append(
+                        max(flows) / mean
+                    )
+
+    def ratios(self):
+        return {
+            service: sum(values) / len(values)
+            for service, values in self.samples.items()
+        }
+
+
+def run_timeline(fleet, processes, say):
+    """The planned changes and the kill that happen under load."""
+    time.sleep(2)
+    document = fleet.text.replace('"revision": 1,', '"revision": 2,')
+    fleet.put_document(document)
+    seconds = fleet.wait_revision(2)
+    say(f"promoted revision 2, in force everywhere after {seconds:.1f} s")
+
+    drained = next(iter(fleet.targets))
+    fleet.instances[drained]["state"] = "leaving"
+    fleet.put_list()
+    processes.send(drained, signal.SIGTERM)
+    say(f"draining target {drained}")
+    time.sleep(2)
+
+    fleet.instances["balancer-1"]["state"] = "leaving"
+    fleet.put_list()
+    time.sleep(0.5)
+    processes.send("balancer-1", signal.SIGTERM)
+    say("stopping balancer-1 gracefully")
+    time.sleep(2)
+
+    processes.send("balancer-2", signal.SIGKILL)
+    say("killed balancer-2")
+    time.sleep(0.5)
+    del fleet.instances["balancer-2"]
+    del fleet.instances["balancer-1"]
+    fleet.put_list()
+    time.sleep(1)
+
+    fleet.start_balancer(4)
+    fleet.put_list()
+    say("started balancer-4")
+    return drained
+
+
+def summarize(fleet, result, ratios):
+    """Joins what callers saw with what the backend servers ran."""
+    runs = {}
+    for target in fleet.targets.values():
+        page = http_json(f"127.73.0.{target['number']}:7002/runs")
+        if page is None:
+            raise RuntimeError("a backend server does not answer")
+        for identity, count in page.items():
+            runs[identity] = runs.get(identity, 0) + count
+    calls = result["calls"]
+    rows = {}
+    for service in fleet.document["services"]:
+        name = service["name"]
+        mine = [c for c in calls if c["service"] == name]
+        count = lambda outcome: sum(c["outcome"] == outcome for c in mine)
+        once = [c for c in mine if not c["idempotent"]]
+        rows[name] = {
+            "started": len(mine),
+            "completed": count("completed"),
+            "broken": count("broken"),
+            "misrouted": count("misrouted"),
+            "answeredTwice": sum(c["answeredTwice"] for c in mine),
+            "ranMoreThanOnce": sum(runs.get(c["id"], 0) > 1 for c in once),
+            "ranAfterRefused": sum(
+                runs.get(c["id"], 0) > 0
+                for c in once
+                if c["outcome"] == "refused"
+            ),
+            "lost": sum(
+                runs.get(c["id"], 0) == 0
+                for c in mine
+                if c["outcome"] == "completed" and c["verb"] != "STREAM"
+            ),
+            "refusedAsNotRun": count("refused"),
+            "outcomeUnknown": count("unknown"),
+            "refusalsBeforeSuccess": sum(
+                c["attempts"] - 1 for c in mine if c["outcome"] == "completed"
+            ),
+            "maxToMeanFlows": round(ratios.get(name, 0), 3),
+        }
+    return rows
+
+
+FAULTS = (
+    "broken", "misrouted", "answeredTwice", "ranMoreThanOnce",
+    "ranAfterRefused", "lost",
+)
+
+
+def print_table(rows):
+    names = list(rows)
+    keys = list(rows[names[0]])
+    print("\n" + "".ljust(24) + "".join(name.rjust(12) for name in names))
+    for key in keys:
+        print(key.ljust(24) + "".join(str(rows[n][key]).rjust(12) for n in names))
+
+
+def main():
+    parser = argparse.ArgumentParser(prog="scripts/demo")
+    parser.add_argument("user", nargs="?", default="stalbo",
+                        choices=["stalbo", "chama"])
+    parser.add_argument("--json", metavar="FILE")
+    parser.add_argument("--seconds", type=int, default=16)
+    parser.add_argument("--rate", type=int, default=30)
+    parser.add_argument("--streams", type=int, default=100)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", help="folder to keep the logs in")
+    options = parser.parse_args()
+
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(130))
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="lacewingspread-"))
+    logs = pathlib.Path(options.logs) if options.logs else folder
+    logs.mkdir(parents=True, exist_ok=True)
+    processes = Processes(logs)
+    start = time.monotonic()
+
+    def say(text):
+        print(f"[{time.monotonic() - start:6.1f} s] {text}", flush=True)
+
+    try:
+        processes.start("platform", BIN / "standin", "platform",
+                        "--listen", PLATFORM)
+        fleet = Fleet(options.user, processes, folder)
+        for _ in range(100):
+            try:
+                fleet.put_document(fleet.text)
+                break
+            except OSError:
+                time.sleep(0.05)
+        for number in (1, 2, 3):
+            fleet.start_balancer(number)
+        for name in fleet.targets:
+            fleet.start_target(name, options.seed)
+        fleet.put_list()
+        processes.start("fabric", BIN / "standin", "fabric",
+                        "--listen", FABRIC, "--platform", PLATFORM,
+                        "--seed", options.seed)
+        fleet.wait_ready()
+        say(f"{options.user}: 3 balancers and {len(fleet.targets)} targets "
+            "are ready")
+
+        result_path = logs / "result.json"
+        processes.start(
+            "callers", BIN / "standin", "callers", "--listen", GATEWAY,
+            "--fabric", FABRIC, "--document", fleet.document_path,
+            "--seconds", options.seconds, "--rate", options.rate,
+            "--streams", options.streams, "--seed", options.seed,
+            "--json", result_path,
+        )
+        sampler = LoadSampler(fleet)
+        sampler.start()
+        say(f"callers are at work for {options.seconds} s")
+        drained = run_timeline(fleet, processes, say)
+        processes.wait("callers", options.seconds + 60)
+        sampler.is_ended.set()
+        sampler.join()
+        processes.wait(drained, 10)
+        say(f"target {drained} finished its flows and stopped")
+        pages = {name: fleet.status(name) for name in fleet.instances}
+        (logs / "status.json").write_text(json.dumps(pages, indent=2))
+        rows = summarize(fleet, json.loads(result_path.read_text()),
+                         sampler.ratios())
+    finally:
+        processes.stop_all()
+
+    print_table(rows)
+    if options.json:
+        report = {"user": options.user, "seed": options.seed, "services": rows}
+        pathlib.Path(options.json).write_text(json.dumps(report, indent=2))
+    faults = sum(row[key] for row in rows.values() for key in FAULTS)
+    print(f"\n{'FAILED: ' + str(faults) + ' faults' if faults else 'OK'}")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except KeyboardInterrupt:
+        sys.exit(130)
--- /dev/null
+++ b/src/lacewingctl/textfile.cpp
@@ -0,0 +1,18 @@
+#include "textfile.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <fstream>
+#include <sstream>
+
+absl::StatusOr<std::string>
+readTextFile(const std::string& aPath)
+{
+  const std::ifstream stream(aPath);
+  if (!stream) {
+    return absl::NotFoundError(absl::StrCat(aPath, ": cannot be read"));
+  }
+  std::stringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
--- /dev/null
+++ b/src/lacewingspread/balancer.cpp
@@ -0,0 +1,135 @@
+#include "balancer.h"
+
+#include "process.h"
+#include "statuspage.h"
+
+#include "balancing/balancerengine.h"
+#include "core/systemclock.h"
+#include "core/task.h"
+#include "telemetry/metricswriter.h"
+#include "telemetry/statusserver.h"
+#include "transport/datagrambatch.h"
+#include "transport/udpsocket.h"
+
+#include <poll.h>
+
+#include <atomic>
+
+namespace {
+
+constexpr std::chrono::milliseconds kPollTime{ 10 };
+
+/** The one data task of a balancer. */
+class Balancer
+{
+public:
+  Balancer(const Config::BalancerSettings& aSettings,
+           Process& aProcess,
+           const Transport::UdpSocket& aSocket)
+    : mProcess(aProcess)
+    , mSocket(aSocket)
+    , mSender(aSocket)
+    , mEngine(mSender, aSettings.common.data, aSettings.common.flowHashKey)
+  {
+  }
+
+  void run()
+  {
+    pollfd entry{ mSocket.descriptor(), POLLIN, 0 };
+    while (!mProcess.stop().isStopRequested()) {
+      poll(&entry, 1, static_cast<int>(kPollTime.count()));
+      takeNewView();
+      const auto now = mClock.now();
+      while (mReceiver.receive(mSocket, [&](const auto& aDatagram) {
+        mEngine.handleDatagram(aDatagram, now);
+      }) == Transport::DatagramReceiver::kBatch) {
+        mSender.flush();
+      }
+      mSender.flush();
+    }
+  }
+
+  bool hasView() const { return mHasView; }
+  const Balancing::BalancerCounters& counters() const
+  {
+    return mEngine.counters();
+  }
+
+private:
+  void takeNewView()
+  {
+    const auto generation = mProcess.store().generation();
+    if (generation == mSeenGeneration) {
+      return;
+    }
+    mSeenGeneration = generation;
+    const auto status =
+      mEngine.adoptView(mProcess.store().state().view, mClock.now());
+    if (!status.ok()) {
+      mProcess.events().write(Telemetry::Event::ViewRefused, status.message());
+      return;
+    }
+    mHasView = true;
+  }
+
+  Process& mProcess;
+  const Transport::UdpSocket& mSocket;
+  Core::SystemClock mClock;
+  Transport::DatagramReceiver mReceiver;
+  Transport::DatagramSender mSender;
+  Balancing::BalancerEngine<Transport::DatagramSender> mEngine;
+  std::uint64_t mSeenGeneration = 0;
+  std::atomic<bool> mHasView = false;
+};
+
+} // namespace
+
+absl::Status
+runBalancer(const Config::BalancerSettings& aSettings)
+{
+  auto process = Process::start(aSettings.common, "balancer");
+  if (!process.ok()) {
+    return process.status();
+  }
+  auto socket = Transport::UdpSocket::bind(aSettings.common.data);
+  if (!socket.ok()) {
+    return socket.status();
+  }
+  Balancer balancer(aSettings, **process, *socket);
+  std::atomic<bool> isStopping = false;
+  Telemetry::StatusPages pages;
+  pages.isReady = [&] { return balancer.hasView() && !isStopping; };
+  pages.status = [&] {
+    Json::Value page;
+    (*process)->describe(page);
+    page["ready"] = pages.isReady();
+    page["leaving"] = isStopping.load();
+    page["counters"] = counterPage(balancer.counters());
+    return toText(page);
+  };
+  pages.metrics = [&] {
+    Telemetry::MetricsWriter writer;
+    writer.counters(balancer.counters(),
+                    [](auto aCounter) { return nameOf(aCounter); });
+    writer.gauge("view_revision",
+                 static_cast<double>((*process)->store().state().revision));
+    return writer.page();
+  };
+  pages.histograms = [] { return std::string("[]\n"); };
+  auto status = Telemetry::StatusServer::start(aSettings.common.status, pages);
+  if (!status.ok()) {
+    return status.status();
+  }
+  Core::Task task;
+  if (auto started = task.start("data", [&] { balancer.run(); });
+      !started.ok()) {
+    return started;
+  }
+  (*process)->waitForSignal([] { return false; });
+  // The fabric may go on sending for a while.
+  isStopping = true;
+  (*process)->stop().sleepFor(aSettings.stopDelay);
+  (*process)->stop().requestStop();
+  task.join();
+  return absl::OkStatus();
+}
--- /dev/null
+++ b/src/lacewingspread/process.cpp
@@ -0,0 +1,178 @@
+#include "process.h"
+
+#include "control/viewexchange.h"
+#include "control/viewserver.h"
+#include "control/viewwatch.h"
+#include "control/zeromqsocket.h"
+#include "core/errorcontext.h"
+#include "core/filedescriptor.h"
+
+#include <absl/strings/str_cat.h>
+#include <json/value.h>
+
+#include <poll.h>
+#include <sys/signalfd.h>
+
+#include <chrono>
+#include <csignal>
+
+namespace {
+
+constexpr std::chrono::milliseconds kUpdateInterval{ 250 };
+
+absl::StatusOr<Core::FileDescriptor>
+openSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  // Threads inherit the mask, so that only the descriptor sees the signals.
+  if (pthread_sigmask(SIG_BLOCK, &signals, nullptr) != 0) {
+    return Core::lastSystemError("block signals", "kernel");
+  }
+  Core::FileDescriptor descriptor(signalfd(-1, &signals, SFD_CLOEXEC));
+  if (!descriptor.isValid()) {
+    return Core::lastSystemError("open the signal descriptor", "kernel");
+  }
+  return descriptor;
+}
+
+} // namespace
+
+class Process::Private
+{
+public:
+  Private(const Config::CommonSettings& aSettings,
+          const char* aRole,
+          Core::FileDescriptor aSignals,
+          std::unique_ptr<Core::StopSource> aStop)
+    : settings(aSettings)
+    , role(aRole)
+    , signals(std::move(aSignals))
+    , stop(std::move(aStop))
+    , events({ aSettings.name, aSettings.log.level, aSettings.log.json })
+    , store(events)
+    , exchange(context,
+               { aSettings.name, aSettings.zone },
+               aSettings.seeds,
+               store,
+               events,
+               *stop)
+    , watch(aSettings.configurationService,
+            aSettings.environment,
+            { aSettings.name, aSettings.zone },
+            store,
+            events,
+            *stop)
+  {
+  }
+
+  absl::Status start()
+  {
+    auto started = Control::ViewServer::start(
+      context, settings.control, settings.name, store, *stop);
+    if (!started.ok()) {
+      return started.status();
+    }
+    server = std::move(*started);
+    exchange.update();
+    return watch.start();
+  }
+
+  Config::CommonSettings settings;
+  const char* role;
+  Core::FileDescriptor signals;
+  std::unique_ptr<Core::StopSource> stop;
+  Telemetry::EventLog events;
+  Control::ViewStore store;
+  Control::ZeroMqContext context;
+  Control::ViewExchange exchange;
+  Control::ViewWatch watch;
+  std::unique_ptr<Control::ViewServer> server;
+};
+
+absl::StatusOr<std::unique_ptr<Process>>
+Process::start(const Config::CommonSettings& aSettings, const char* aRole)
+{
+  auto signals = openSignals();
+  if (!signals.ok()) {
+    return signals.status();
+  }
+  auto stop = Core::StopSource::create();
+  if (!stop.ok()) {
+    return stop.status();
+  }
+  auto d = std::make_unique<Private>(
+    aSettings, aRole, std::move(*signals), std::move(*stop));
+  if (auto status = d->start(); !status.ok()) {
+    d->stop->requestStop();
+    return status;
+  }
+  d->events.write(Telemetry::Event::ProcessStarted,
+                  absl::StrCat(aRole,
+                               " in zone ",
+                               aSettings.zone,
+                               ", data at ",
+                               Core::formatEndpoint(aSettings.data)));
+  return std::unique_ptr<Process>(new Process(std::move(d)));
+}
+
+Process::Process(std::unique_ptr<Private> aPrivate)
+  : d(std::move(aPrivate))
+{
+}
+
+Process::~Process()
+{
+  d->stop->requestStop();
+  d->events.write(Telemetry::Event::ProcessStopped, d->role);
+}
+
+Telemetry::EventLog&
+Process::events()
+{
+  return d->events;
+}
+
+Control::ViewStore&
+Process::store()
+{
+  return d->store;
+}
+
+Core::StopSource&
+Process::stop()
+{
+  return *d->stop;
+}
+
+void
+Process::waitForSignal(const std::function<bool()>& aIsDone)
+{
+  pollfd entry{ d->signals.value(), POLLIN, 0 };
+  while (!aIsDone()) {
+    if (poll(&entry, 1, static_cast<int>(kUpdateInterval.count())) > 0) {
+      d->events.write(Telemetry::Event::ProcessStopping, d->role);
+      return;
+    }
+    d->exchange.update();
+  }
+}
+
+void
+Process::describe(Json::Value& aStatus) const
+{
+  const auto state = d->store.state();
+  aStatus["role"] = d->role;
+  aStatus["name"] = d->settings.name;
+  aStatus["zone"] = d->settings.zone;
+  aStatus["environment"] = d->settings.environment;
+  aStatus["revision"] = Json::Value::UInt64(state.revision);
+  aStatus["digest"] = state.digest;
+  aStatus["listIndex"] = Json::Value::UInt64(state.listIndex);
+  aStatus["peers"] = Json::Value::UInt64(d->exchange.peerCount());
+  aStatus["serviceCalls"] = Json::Value::UInt64(d->watch.callCount());
+  aStatus["exchangedBytes"] =
+    Json::Value::UInt64(d->exchange.exchangedBytes() + d->server->sentBytes());
+}
--- /dev/null
+++ b/src/libs/config/document.cpp
@@ -0,0 +1,73 @@
+#include "config/document.h"
+
+#include <absl/strings/escaping.h>
+#include <sodium.h>
+
+#include <array>
+
+namespace Config {
+
+namespace {
+
+constexpr std::array<unsigned char, crypto_shorthash_KEYBYTES> kIdentityKey{};
+
+} // namespace
+
+Identity
+identityOf(absl::string_view aName)
+{
+  Identity value = 0;
+  crypto_shorthash(reinterpret_cast<unsigned char*>(&value),
+                   reinterpret_cast<const unsigned char*>(aName.data()),
+                   aName.size(),
+                   kIdentityKey.data());
+  return value == 0 ? 1 : value;
+}
+
+std::string
+digestOf(absl::string_view aText)
+{
+  std::array<unsigned char, crypto_hash_sha256_BYTES> value{};
+  crypto_hash_sha256(value.data(),
+                     reinterpret_cast<const unsigned char*>(aText.data()),
+                     aText.size());
+  return absl::BytesToHexString(absl::string_view(
+    reinterpret_cast<const char*>(value.data()), value.size()));
+}
+
+const ServiceClass*
+Service::findClass(std::uint16_t aPort, Packet::Protocol aProtocol) const
+{
+  for (const auto& it : classes) {
+    if (it.port == aPort && it.protocol == aProtocol) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+bool
+Member::contains(std::uint32_t aAddress) const
+{
+  constexpr unsigned kAddressBits = 32;
+  if (prefixLength == 0) {
+    return true;
+  }
+  const auto shift = kAddressBits - prefixLength;
+  return (address >> shift) == (aAddress >> shift);
+}
+
+const Member*
+Document::findMember(std::uint32_t aCallerAddress) const
+{
+  const Member* best = nullptr;
+  for (const auto& it : members) {
+    const bool better = best == nullptr || it.prefixLength > best->prefixLength;
+    if (better && it.contains(aCallerAddress)) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+} // namespace Config
--- /dev/null
+++ b/src/libs/config/documentparser.cpp
@@ -0,0 +1,283 @@
+#include "config/documentparser.h"
+
+#include "config/jsonreader.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+namespace Config {
+
+namespace {
+
+constexpr IntegerRange kRevisionRange{ 1, INT64_MAX };
+constexpr IntegerRange kTimeRangeMs{ 0, 86'400'000 };
+constexpr IntegerRange kPortRange{ 1, UINT16_MAX };
+constexpr IntegerRange kSlotRange{ 1, 65'536 };
+constexpr IntegerRange kConnectionRange{ 1, 1'000'000 };
+constexpr IntegerRange kPercentRange{ 1, 100 };
+constexpr std::chrono::milliseconds kDefaultReplayWindow{ 120'000 };
+constexpr std::chrono::milliseconds kDefaultDrainDeadline{ 3'600'000 };
+constexpr std::chrono::milliseconds kDefaultSlowStart{ 10'000 };
+constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 60'000 };
+
+std::string
+indexed(const std::string& aPlace, Json::ArrayIndex aIndex)
+{
+  return absl::StrCat(aPlace, "[", aIndex, "]");
+}
+
+/** Reads the parts of one document and remembers names across them. */
+class DocumentReader
+{
+public:
+  explicit DocumentReader(JsonSource& aSource)
+    : mSource(aSource)
+  {
+  }
+
+  Document read(const Json::Value& aRoot);
+
+private:
+  void readRegions(ObjectReader& aReader, Document& aDocument);
+  void readMembers(ObjectReader& aReader, Document& aDocument);
+  void readServices(ObjectReader& aReader, Document& aDocument);
+  Member readMember(const Json::Value& aValue, const std::string& aPlace);
+  Service readService(const Json::Value& aValue, const std::string& aPlace);
+  void readClasses(ObjectReader& aReader, Service& aService);
+  void readTargets(ObjectReader& aReader, Service& aService);
+  void noteUnique(ObjectReader& aReader,
+                  const char* aKey,
+                  const std::string& aKind,
+                  const std::string& aName);
+
+  JsonSource& mSource;
+  absl::flat_hash_set<std::string> mZones;
+  /** Kind and name, to the place where it was declared first. */
+  absl::flat_hash_map<std::string, std::string> mDeclared;
+};
+
+Document
+DocumentReader::read(const Json::Value& aRoot)
+{
+  Document document;
+  ObjectReader reader(mSource, aRoot, "");
+  document.revision = reader.integer("revision", kRevisionRange);
+  document.replayWindow = reader.millisecondsOr(
+    "replayWindowMilliseconds", kTimeRangeMs, kDefaultReplayWindow);
+  document.drainDeadline = reader.millisecondsOr(
+    "drainDeadlineMilliseconds", kTimeRangeMs, kDefaultDrainDeadline);
+  document.slowStart = reader.millisecondsOr(
+    "slowStartMilliseconds", kTimeRangeMs, kDefaultSlowStart);
+  readRegions(reader, document);
+  readMembers(reader, document);
+  readServices(reader, document);
+  reader.finish();
+  return document;
+}
+
+void
+DocumentReader::noteUnique(ObjectReader& aReader,
+                           const char* aKey,
+                           const std::string& aKind,
+                           const std::string& aName)
+{
+  if (aName.empty()) {
+    return;
+  }
+  const auto [it, isNew] =
+    mDeclared.emplace(absl::StrCat(aKind, " ", aName), aReader.place(aKey));
+  if (!isNew) {
+    aReader.addFault(
+      aKey,
+      absl::StrCat(
+        aKind, " \"", aName, "\" is already declared at ", it->second));
+  }
+}
+
+void
+DocumentReader::readRegions(ObjectReader& aReader, Document& aDocument)
+{
+  const auto& regions = aReader.array("regions");
+  for (Json::ArrayIndex i = 0; i < regions.size(); ++i) {
+    ObjectReader reader(
+      mSource, regions[i], indexed(aReader.place("regions"), i));
+    Region region;
+    region.name = reader.string("name");
+    noteUnique(reader, "name", "region", region.name);
+    const auto& zones = reader.array("zones");
+    for (Json::ArrayIndex k = 0; k < zones.size(); ++k) {
+      const auto place = indexed(reader.place("zones"), k);
+      if (!zones[k].isString()) {
+        mSource.addFault(zones[k], place, "expected the name of a zone");
+      } else if (!mZones.insert(zones[k].asString()).second) {
+        mSource.addFault(zones[k],
+                         place,
+                         absl::StrCat("zone \"",
+                                      zones[k].asString(),
+                                      "\" is already declared"));
+      } else {
+        region.zones.push_back(zones[k].asString());
+      }
+    }
+    reader.finish();
+    aDocument.regions.push_back(std::move(region));
+  }
+}
+
+void
+DocumentReader::readMembers(ObjectReader& aReader, Document& aDocument)
+{
+  const auto& members = aReader.array("members", false);
+  for (Json::ArrayIndex i = 0; i < members.size(); ++i) {
+    aDocument.members.push_back(
+      readMember(members[i], indexed(aReader.place("members"), i)));
+  }
+}
+
+Member
+DocumentReader::readMember(const Json::Value& aValue, const std::string& aPlace)
+{
+  ObjectReader reader(mSource, aValue, aPlace);
+  Member member;
+  member.name = reader.string("name");
+  noteUnique(reader, "name", "member", member.name);
+  const auto prefix = reader.string("callers");
+  const std::vector<std::string> parts = absl::StrSplit(prefix, '/');
+  const auto address = Core::parseAddress(parts.front());
+  std::uint32_t length = 0;
+  const bool valid = address.ok() && parts.size() == 2 &&
+                     absl::SimpleAtoi(parts[1], &length) && length <= 32;
+  if (!valid && !prefix.empty()) {
+    reader.addFault("callers",
+                    "expected a prefix as in \"10.1.0.0/16\", found \"" +
+                      prefix + "\"");
+  }
+  member.address = address.ok() ? *address : 0;
+  member.prefixLength = static_cast<std::uint8_t>(length);
+  member.slotShare = static_cast<std::uint32_t>(
+    reader.integerOr("slotSharePercent", kPercentRange, 100));
+  reader.finish();
+  return member;
+}
+
+void
+DocumentReader::readServices(ObjectReader& aReader, Document& aDocument)
+{
+  const auto& services = aReader.array("services");
+  for (Json::ArrayIndex i = 0; i < services.size(); ++i) {
+    aDocument.services.push_back(
+      readService(services[i], indexed(aReader.place("services"), i)));
+  }
+}
+
+Service
+DocumentReader::readService(const Json::Value& aValue,
+                            const std::string& aPlace)
+{
+  ObjectReader reader(mSource, aValue, aPlace);
+  Service service;
+  service.name = reader.string("name");
+  noteUnique(reader, "name", "service", service.name);
+  service.identity = identityOf(service.name);
+  service.address = reader.address("address");
+  const auto preference =
+    reader.word("zonePreference", { "own-first", "spread" }, "own-first");
+  service.zonePreference =
+    preference == "spread" ? ZonePreference::Spread : ZonePreference::OwnFirst;
+  readClasses(reader, service);
+  readTargets(reader, service);
+  reader.finish();
+  return service;
+}
+
+void
+DocumentReader::readClasses(ObjectReader& aReader, Service& aService)
+{
+  const auto& classes = aReader.array("classes");
+  for (Json::ArrayIndex i = 0; i < classes.size(); ++i) {
+    ObjectReader reader(
+      mSource, classes[i], indexed(aReader.place("classes"), i));
+    ServiceClass entry;
+    entry.name = reader.string("name");
+    noteUnique(reader, "name", "class of " + aService.name, entry.name);
+    entry.port = static_cast<std::uint16_t>(reader.integer("port", kPortRange));
+    const auto protocol = reader.word("protocol", { "tcp", "udp" });
+    entry.protocol =
+      protocol == "udp" ? Packet::Protocol::Udp : Packet::Protocol::Tcp;
+    noteUnique(
+      reader,
+      "port",
+      "address and port",
+      absl::StrCat(
+        Core::formatAddress(aService.address), ":", entry.port, "/", protocol));
+    entry.occupies = reader.word("occupies", { "slot", "connection" }) == "slot"
+                       ? Occupies::Slot
+                       : Occupies::Connection;
+    entry.idempotent = reader.boolean("idempotent");
+    entry.waitLimit = reader.millisecondsOr(
+      "waitLimitMilliseconds", kTimeRangeMs, std::chrono::milliseconds(0));
+    entry.idleTimeout = reader.millisecondsOr(
+      "idleTimeoutMilliseconds", kTimeRangeMs, kDefaultIdleTimeout);
+    reader.finish();
+    aService.classes.push_back(std::move(entry));
+  }
+}
+
+void
+DocumentReader::readTargets(ObjectReader& aReader, Service& aService)
+{
+  const auto& targets = aReader.array("targets");
+  for (Json::ArrayIndex i = 0; i < targets.size(); ++i) {
+    ObjectReader reader(
+      mSource, targets[i], indexed(aReader.place("targets"), i));
+    Target target;
+    target.name = reader.string("name");
+    noteUnique(reader, "name", "target", target.name);
+    target.identity = identityOf(target.name);
+    target.zone = reader.string("zone");
+    if (!target.zone.empty() && !mZones.contains(target.zone)) {
+      reader.addFault(
+        "zone", "zone \"" + target.zone + "\" is not declared under regions");
+    }
+    target.slots =
+      static_cast<std::uint32_t>(reader.integer("slots", kSlotRange));
+    target.connections = static_cast<std::uint32_t>(
+      reader.integer("connections", kConnectionRange));
+    target.draining = reader.booleanOr("draining", false);
+    reader.finish();
+    aService.targets.push_back(std::move(target));
+  }
+}
+
+} // namespace
+
+DocumentResult
+parseDocument(const std::string& aFile, const std::string& aText)
+{
+  JsonSource source(aFile, aText);
+  const auto root = source.parse();
+  if (!source.faults().empty()) {
+    return source.faults();
+  }
+  auto document = DocumentReader(source).read(root);
+  if (!source.faults().empty()) {
+    return source.faults();
+  }
+  document.digest = digestOf(aText);
+  return document;
+}
+
+absl::StatusOr<Document>
+parseDocumentOrStatus(const std::string& aFile, const std::string& aText)
+{
+  auto result = parseDocument(aFile, aText);
+  if (auto* faults = std::get_if<Diagnostics>(&result)) {
+    return toStatus(*faults);
+  }
+  return std::move(std::get<Document>(result));
+}
+
+} // namespace Config
--- /dev/null
+++ b/src/libs/control/textcodec.cpp
@@ -0,0 +1,63 @@
+#include "control/textcodec.h"
+
+#include <absl/cleanup/cleanup.h>
+#include <zstd.h>
+
+namespace Control {
+
+namespace {
+
+constexpr int kLevel = 6;
+/** 16 MB, so that a base of several megabytes is reached. */
+constexpr int kWindowLog = 24;
+constexpr std::size_t kMaximumTextBytes = 64 * 1024 * 1024;
+
+absl::Status
+toStatus(std::size_t aResult)
+{
+  return absl::InternalError(ZSTD_getErrorName(aResult));
+}
+
+} // namespace
+
+absl::StatusOr<std::string>
+compressText(absl::string_view aText, absl::string_view aBase)
+{
+  auto* const context = ZSTD_createCCtx();
+  const absl::Cleanup freeContext = [context] { ZSTD_freeCCtx(context); };
+  ZSTD_CCtx_setParameter(context, ZSTD_c_compressionLevel, kLevel);
+  ZSTD_CCtx_setParameter(context, ZSTD_c_windowLog, kWindowLog);
+  ZSTD_CCtx_setParameter(context, ZSTD_c_enableLongDistanceMatching, 1);
+  ZSTD_CCtx_refPrefix(context, aBase.data(), aBase.size());
+  std::string data(ZSTD_compressBound(aText.size()), '\0');
+  const auto n = ZSTD_compress2(
+    context, data.data(), data.size(), aText.data(), aText.size());
+  if (ZSTD_isError(n) != 0) {
+    return toStatus(n);
+  }
+  data.resize(n);
+  return data;
+}
+
+absl::StatusOr<std::string>
+decompressText(absl::string_view aData, absl::string_view aBase)
+{
+  const auto size = ZSTD_getFrameContentSize(aData.data(), aData.size());
+  if (size > kMaximumTextBytes) {
+    return absl::InvalidArgumentError("no frame, or its text is too long");
+  }
+  auto* const context = ZSTD_createDCtx();
+  const absl::Cleanup freeContext = [context] { ZSTD_freeDCtx(context); };
+  ZSTD_DCtx_setParameter(context, ZSTD_d_windowLogMax, kWindowLog);
+  ZSTD_DCtx_refPrefix(context, aBase.data(), aBase.size());
+  std::string text(size, '\0');
+  const auto n = ZSTD_decompressDCtx(
+    context, text.data(), text.size(), aData.data(), aData.size());
+  if (ZSTD_isError(n) != 0) {
+    return toStatus(n);
+  }
+  text.resize(n);
+  return text;
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/textcodec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <absl/strings/string_view.h>
+#include <string>
+
+namespace Control {
+
+/**
+ * Compresses aText with Zstandard. With a base, what the base holds already
+ * costs next to nothing, so that the result is the difference of the two.
+ */
+absl::StatusOr<std::string>
+compressText(absl::string_view aText, absl::string_view aBase = {});
+
+/** The text again; the base must be the one it was compressed with. */
+absl::StatusOr<std::string>
+decompressText(absl::string_view aData, absl::string_view aBase = {});
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/viewwatch.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "control/peerchoice.h"
+#include "core/endpoint.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+#include <string>
+
+namespace Core {
+class StopSource;
+}
+namespace Telemetry {
+class EventLog;
+}
+
+namespace Control {
+
+class ViewStore;
+
+/**
+ * Watches the configuration service. The few readers of a zone do it all the
+ * time; any other process does it only while no peer confirms its view. Calls
+ * that fail are repeated with a growing, random delay.
+ */
+class ViewWatch
+{
+public:
+  ViewWatch(const Core::Endpoint& aService,
+            const std::string& aEnvironment,
+            SelfPlace aSelf,
+            ViewStore& aStore,
+            Telemetry::EventLog& aEvents,
+            const Core::StopSource& aStop);
+  ~ViewWatch();
+  ViewWatch(const ViewWatch&) = delete;
+  ViewWatch& operator=(const ViewWatch&) = delete;
+
+  absl::Status start();
+  /** Calls made to the service so far. */
+  std::uint64_t callCount() const;
+
+private:
+  class Private;
+  std::unique_ptr<Private> d;
+};
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/core/clock.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <concepts>
+
+namespace Core {
+
+/** A point on the monotonic clock that counts time asleep as well. */
+struct ClockTag
+{
+  using rep = std::chrono::nanoseconds::rep;
+  using period = std::chrono::nanoseconds::period;
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<ClockTag>;
+  static constexpr bool is_steady = true;
+};
+
+using TimePoint = ClockTag::time_point;
+using Duration = ClockTag::duration;
+
+/** Anything that tells the time; tests pass a manual clock. */
+template<typename T>
+concept Clock = requires(const T& aClock)
+{
+  {
+    aClock.now()
+    } -> std::same_as<TimePoint>;
+};
+
+} // namespace Core
--- /dev/null
+++ b/src/libs/core/task.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <pthread.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Core {
+
+/** One POSIX thread with a name; joined when destroyed. */
+class Task
+{
+public:
+  Task() = default;
+  Task(Task&& aOther) noexcept;
+  Task& operator=(Task&& aOther) noexcept;
+  Task(const Task&) = delete;
+  Task& operator=(const Task&) = delete;
+  ~Task();
+
+  /** Starts the thread; aName is cut to the system's 15 characters. */
+  absl::Status start(const std::string& aName, std::function<void()> aBody);
+  void join();
+
+private:
+  pthread_t mThread{};
+  bool mRunning = false;
+};
+
+} // namespace Core
--- /dev/null
+++ b/src/libs/ownership/agentcounters.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "telemetry/counterset.h"
+
+#include <string>
+
+namespace Ownership {
+
+/** What an agent counts; see docs/operators/metrics.md. */
+enum class AgentCounter
+{
+  PacketsReceived,
+  PacketsMalformed,
+  PacketsWrongService,
+  PacketsDelivered,
+  PacketsToCallers,
+  PacketsForwarded,
+  PacketsHopLimit,
+  PacketsLeaseExpired,
+  FlowsAdmitted,
+  FlowsAdopted,
+  FlowsEnded,
+  FlowsReturned,
+  FlowsRefused,
+  FlowsWaited,
+  FlowsNotFound,
+  FlowsSearched,
+  ClaimsGranted,
+  ClaimsDenied,
+  ClaimsUnproven,
+  DuplicatesSuppressed,
+  AnswersRepeated,
+  LoadReportsSent,
+  LoadReportsReceived,
+  BackendPacketsUnknown,
+  Count,
+};
+
+using AgentCounters = Telemetry::CounterSet<AgentCounter>;
+
+std::string
+nameOf(AgentCounter aCounter);
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/ownerside.h
@@ -0,0 +1,448 @@
+#pragma once
+
+#include "messages/flowid.h"
+#include "ownership/agentcontext.h"
+#include "ownership/exchangetable.h"
+#include "ownership/flowtable.h"
+#include "ownership/targetusage.h"
+#include "packet/packetbuilder.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Ownership {
+
+/** What became of a packet whose flow may be owned here. */
+enum class Delivery
+{
+  Delivered,
+  NotOwned,
+};
+
+/** What became of a flow that was assigned to this agent. */
+enum class AdmitResult
+{
+  Admitted,
+  /** No room; nothing was delivered and nothing will be. */
+  Returned,
+  /** Another owner is on record; nothing was delivered. */
+  ClaimedElsewhere,
+};
+
+/**
+ * The flows that the target beside this agent owns: admission, delivery, the
+ * way back to the caller, and their end.
+ */
+template<AgentPort Port>
+class OwnerSide
+{
+public:
+  explicit OwnerSide(AgentContext<Port>& aContext)
+    : mContext(aContext)
+  {
+    mUsage.setStartedAt(aContext.self.startedAt);
+  }
+
+  /** Takes the limits and classes of the view in force over. */
+  void adoptView()
+  {
+    const auto& view = *mContext.views.current();
+    const auto* place = view.findTarget(mContext.self.target);
+    mIsDeclared = place != nullptr;
+    if (mIsDeclared) {
+      mServiceName = view.serviceOfTarget(mContext.self.target)->service->name;
+      mUsage.setLimits(view.document(), *place->target);
+    }
+  }
+
+  bool owns(const Packet::FlowKey& aFlow)
+  {
+    return mFlows.find(aFlow) != nullptr;
+  }
+
+  std::size_t openFlows() const { return mFlows.openCount(); }
+  Load load(Core::TimePoint aNow) const
+  {
+    auto load = mUsage.load(aNow);
+    if (!isBackendHealthy(aNow)) {
+      load.slots = 0;
+      load.connections = 0;
+    }
+    return load;
+  }
+
+  /** True when this target may take new flows at all. */
+  bool takesNewFlows(Core::TimePoint aNow) const
+  {
+    const auto* place =
+      mContext.views.current()->findTarget(mContext.self.target);
+    return mIsDeclared && !mContext.isLeaving && !place->leaving &&
+           isBackendHealthy(aNow);
+  }
+
+  /** True when the flow would be admitted. */
+  bool hasRoom(const Arrival& aArrival, Core::TimePoint aNow) const
+  {
+    const auto member = mUsage.memberIndex(aArrival.flow.caller.address);
+    const auto occupies = aArrival.classView.serviceClass->occupies;
+    const bool isIncomplete =
+      aArrival.needsClaim() && !mContext.isComplete(aNow);
+    return takesNewFlows(aNow) && !isIncomplete &&
+           mUsage.check(occupies, member, aNow) == Admission::Admitted;
+  }
+
+  Delivery deliverIfOwned(const Arrival& aArrival, Core::TimePoint aNow)
+  {
+    auto* entry = mFlows.find(aArrival.flow);
+    if (entry == nullptr) {
+      return Delivery::NotOwned;
+    }
+    const bool isReused =
+      aArrival.packet.isOpening() && entry->state == FlowState::Ended;
+    if (isReused) {
+      forget(aArrival.flow);
+      return Delivery::NotOwned;
+    }
+    if (!isPartOfHandshake(aArrival.packet, *entry)) {
+      return Delivery::NotOwned;
+    }
+    entry->lastPacketAt = aNow;
+    if (aArrival.needsClaim()) {
+      return deliverOnce(aArrival);
+    }
+    if (aArrival.isUdp() && !reopenUdp(aArrival, *entry, aNow)) {
+      return Delivery::Delivered;
+    }
+    noteCallerPacket(aArrival.packet, *entry);
+    deliver(aArrival);
+    return Delivery::Delivered;
+  }
+
+  AdmitResult admit(const Arrival& aArrival, Core::TimePoint aNow)
+  {
+    if (aArrival.needsClaim() && !mayAdmitClaimed(aArrival, aNow)) {
+      return AdmitResult::ClaimedElsewhere;
+    }
+    if (!hasRoom(aArrival, aNow)) {
+      if (aArrival.needsClaim()) {
+        mContext.claims.reject(aArrival.flow, aNow);
+      }
+      mContext.counters.increment(AgentCounter::FlowsReturned);
+      return AdmitResult::Returned;
+    }
+    open(aArrival, aNow);
+    return AdmitResult::Admitted;
+  }
+
+  /** Handles one whole packet from the backend server. */
+  void handleBackendPacket(absl::Span<const std::uint8_t> aData,
+                           Core::TimePoint aNow)
+  {
+    const auto packet =
+      Packet::PacketView::parse(aData, Packet::Verify::Headers);
+    if (!packet.ok()) {
+      mContext.counters.increment(AgentCounter::PacketsMalformed);
+      return;
+    }
+    mUnansweredSince.reset();
+    const auto flow = packet->flowToCaller();
+    auto* entry = mFlows.find(flow);
+    if (entry == nullptr) {
+      mContext.counters.increment(AgentCounter::BackendPacketsUnknown);
+      return;
+    }
+    entry->lastPacketAt = aNow;
+    noteBackendPacket(*packet, flow, *entry, aNow);
+    mContext.port.sendToCaller(packet->bytes());
+    mContext.counters.increment(AgentCounter::PacketsToCallers);
+  }
+
+  /** Takes flows over that the backend server held before this start. */
+  void adoptFlows(const std::vector<Packet::FlowKey>& aFlows,
+                  Core::TimePoint aNow)
+  {
+    for (const auto& flow : aFlows) {
+      const auto found =
+        mContext.views.current()->findClass(flow.service, flow.protocol);
+      const bool isMine =
+        found && found.service->indexOf(mContext.self.target).has_value();
+      if (!isMine || owns(flow)) {
+        continue;
+      }
+      OwnedFlow entry;
+      entry.openedAt = aNow;
+      entry.lastPacketAt = aNow;
+      entry.classIndex = classIndex(*found.serviceClass);
+      entry.memberIndex = mUsage.memberIndex(flow.caller.address);
+      entry.state = FlowState::Open;
+      mUsage.take(found.serviceClass->occupies, entry.memberIndex);
+      mFlows.insert(flow, entry);
+      mContext.counters.increment(AgentCounter::FlowsAdopted);
+    }
+  }
+
+  /** Ends flows that were silent for too long and forgets ended ones. */
+  void expire(Core::TimePoint aNow)
+  {
+    mFlows.forEach([this, aNow](const auto&, OwnedFlow& aEntry) {
+      const auto silent = aNow - aEntry.lastPacketAt;
+      const auto limit = aEntry.state == FlowState::HalfOpen
+                           ? std::chrono::nanoseconds(kHandshakeTimeout)
+                           : mClasses[aEntry.classIndex].idleTimeout;
+      if (aEntry.state != FlowState::Ended && silent > limit) {
+        end(aEntry, aNow);
+      }
+    });
+    mFlows.eraseIf([this, aNow](const auto& aFlow, const OwnedFlow& aEntry) {
+      const auto silent = aNow - aEntry.lastPacketAt;
+      const bool isOver =
+        aEntry.state == FlowState::Ended && silent > memoryOf(aEntry);
+      if (isOver) {
+        mExchanges.erase(aFlow);
+      }
+      return isOver;
+    });
+  }
+
+private:
+  /** A handshake that takes longer holds no room. */
+  static constexpr std::chrono::seconds kHandshakeTimeout{ 3 };
+  /** Ended flows still pass the last acknowledgments on. */
+  static constexpr std::chrono::seconds kLinger{ 2 };
+  /** A backend server that leaves an opening packet unanswered is sick. */
+  static constexpr std::chrono::seconds kBackendTimeout{ 1 };
+  /** A sick backend server is tried again with one flow after this. */
+  static constexpr std::chrono::seconds kBackendRetry{ 2 };
+
+  bool isBackendHealthy(Core::TimePoint aNow) const
+  {
+    if (!mUnansweredSince) {
+      return true;
+    }
+    const auto unanswered = aNow - *mUnansweredSince;
+    return unanswered < kBackendTimeout || unanswered > kBackendRetry;
+  }
+
+  std::chrono::nanoseconds memoryOf(const OwnedFlow& aEntry) const
+  {
+    const auto& serviceClass = mClasses[aEntry.classIndex];
+    const bool isClaimed = !serviceClass.idempotent &&
+                           serviceClass.protocol == Packet::Protocol::Udp;
+    return isClaimed ? mContext.replayWindow()
+                     : std::chrono::nanoseconds(kLinger);
+  }
+
+  static bool isPartOfHandshake(const Packet::PacketView& aPacket,
+                                const OwnedFlow& aEntry)
+  {
+    const bool isChecked = aEntry.state == FlowState::HalfOpen &&
+                           aPacket.protocol() == Packet::Protocol::Tcp &&
+                           !aPacket.isOpening() &&
+                           aPacket.hasFlag(Packet::kTcpAck);
+    if (!isChecked) {
+      return true;
+    }
+    return aEntry.isBackendSequenceKnown &&
+           aPacket.acknowledgment() == aEntry.backendSequence + 1;
+  }
+
+  bool mayAdmitClaimed(const Arrival& aArrival, Core::TimePoint aNow)
+  {
+    const auto* claim = mContext.claims.find(aArrival.flow);
+    if (claim != nullptr && claim->isRejected) {
+      return false;
+    }
+    const bool isElsewhere = claim != nullptr && claim->claimer != 0 &&
+                             claim->owner != mContext.self.target;
+    if (isElsewhere) {
+      return false;
+    }
+    if (claim == nullptr) {
+      mContext.claims.record(
+        aArrival.flow, aArrival.header.home, mContext.self.target, aNow);
+    }
+    return true;
+  }
+
+  void open(const Arrival& aArrival, Core::TimePoint aNow)
+  {
+    const auto& serviceClass = *aArrival.classView.serviceClass;
+    const auto member = mUsage.memberIndex(aArrival.flow.caller.address);
+    OwnedFlow entry;
+    entry.openedAt = aNow;
+    entry.lastPacketAt = aNow;
+    entry.classIndex = classIndex(serviceClass);
+    entry.memberIndex = member;
+    entry.state = aArrival.isUdp() ? FlowState::Open : FlowState::HalfOpen;
+    mUsage.take(serviceClass.occupies, member);
+    mFlows.insert(aArrival.flow, entry);
+    mContext.counters.increment(AgentCounter::FlowsAdmitted);
+    if (aArrival.needsClaim()) {
+      mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload());
+    }
+    if (!aArrival.isUdp() && !mUnansweredSince) {
+      mUnansweredSince = aNow;
+    }
+    deliver(aArrival);
+  }
+
+  void deliver(const Arrival& aArrival)
+  {
+    mContext.port.deliver(aArrival.packet.bytes());
+    mContext.counters.increment(AgentCounter::PacketsDelivered);
+    sendNotices(aArrival);
+  }
+
+  void sendNotices(const Arrival& aArrival)
+  {
+    const auto& header = aArrival.header;
+    Messages::PeerMessage message;
+    auto& notice = *message.mutable_owner_notice();
+    Messages::writeFlow(aArrival.flow, *notice.mutable_flow());
+    notice.set_owner(mContext.self.target);
+    notice.set_home(header.home == 0 ? mContext.self.target : header.home);
+    notice.set_revision(mContext.views.current()->revision());
+    if (header.wantsNotice) {
+      mContext.sendMessage(header.origin, message);
+    }
+    const bool wasSearched =
+      header.purpose == Packet::ForwardPurpose::Search && header.home != 0;
+    if (wasSearched) {
+      mContext.sendMessage(mContext.endpointOf(header.home), message);
+    }
+  }
+
+  Delivery deliverOnce(const Arrival& aArrival)
+  {
+    if (mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload())) {
+      deliver(aArrival);
+      return Delivery::Delivered;
+    }
+    mContext.counters.increment(AgentCounter::DuplicatesSuppressed);
+    sendNotices(aArrival);
+    const auto& answer = mExchanges.answer(aArrival.flow);
+    if (!answer.empty()) {
+      mContext.port.sendToCaller(answer);
+      mContext.counters.increment(AgentCounter::AnswersRepeated);
+    }
+    return Delivery::Delivered;
+  }
+
+  /** Another request in an ended UDP flow needs room again. */
+  bool reopenUdp(const Arrival& aArrival,
+                 OwnedFlow& aEntry,
+                 Core::TimePoint aNow)
+  {
+    if (aEntry.state != FlowState::Ended) {
+      return true;
+    }
+    const auto occupies = aArrival.classView.serviceClass->occupies;
+    const auto admission = mUsage.check(occupies, aEntry.memberIndex, aNow);
+    if (admission != Admission::Admitted) {
+      mContext.port.sendToCaller(Packet::buildRefusal(aArrival.packet));
+      mContext.counters.increment(AgentCounter::FlowsRefused);
+      return false;
+    }
+    mUsage.take(occupies, aEntry.memberIndex);
+    aEntry.state = FlowState::Open;
+    aEntry.openedAt = aNow;
+    return true;
+  }
+
+  void noteCallerPacket(const Packet::PacketView& aPacket, OwnedFlow& aEntry)
+  {
+    if (aPacket.protocol() != Packet::Protocol::Tcp) {
+      return;
+    }
+    if (aEntry.state == FlowState::HalfOpen && !aPacket.isOpening()) {
+      aEntry.state = FlowState::Open;
+    }
+    if (aPacket.hasFlag(Packet::kTcpFin)) {
+      aEntry.isCallerDone = true;
+    }
+    if (aPacket.hasFlag(Packet::kTcpRst)) {
+      aEntry.isCallerDone = true;
+      aEntry.isBackendDone = true;
+    }
+  }
+
+  void noteBackendPacket(const Packet::PacketView& aPacket,
+                         const Packet::FlowKey& aFlow,
+                         OwnedFlow& aEntry,
+                         Core::TimePoint aNow)
+  {
+    if (aPacket.protocol() == Packet::Protocol::Udp) {
+      noteBackendAnswer(aPacket, aFlow, aEntry, aNow);
+      return;
+    }
+    if (aPacket.hasFlag(Packet::kTcpSyn)) {
+      aEntry.backendSequence = aPacket.sequence();
+      aEntry.isBackendSequenceKnown = true;
+    }
+    if (aPacket.hasFlag(Packet::kTcpFin)) {
+      aEntry.isBackendDone = true;
+    }
+    const bool isOver = aPacket.hasFlag(Packet::kTcpRst) ||
+                        (aEntry.isCallerDone && aEntry.isBackendDone);
+    if (isOver) {
+      end(aEntry, aNow);
+    }
+  }
+
+  void noteBackendAnswer(const Packet::PacketView& aPacket,
+                         const Packet::FlowKey& aFlow,
+                         OwnedFlow& aEntry,
+                         Core::TimePoint aNow)
+  {
+    const auto& serviceClass = mClasses[aEntry.classIndex];
+    mExchanges.noteAnswer(aFlow, aPacket.bytes());
+    if (serviceClass.occupies == Config::Occupies::Slot) {
+      end(aEntry, aNow);
+    }
+  }
+
+  void end(OwnedFlow& aEntry, Core::TimePoint aNow)
+  {
+    if (aEntry.state == FlowState::Ended) {
+      return;
+    }
+    aEntry.state = FlowState::Ended;
+    const auto& serviceClass = mClasses[aEntry.classIndex];
+    mUsage.release(serviceClass.occupies, aEntry.memberIndex);
+    mContext.counters.increment(AgentCounter::FlowsEnded);
+    const auto duration = aNow - aEntry.openedAt;
+    mContext.histograms.add(mServiceName, "class", serviceClass.name, duration);
+    mContext.histograms.add(
+      mServiceName, "member", mUsage.memberName(aEntry.memberIndex), duration);
+  }
+
+  void forget(const Packet::FlowKey& aFlow) { mFlows.erase(aFlow); }
+
+  std::uint16_t classIndex(const Config::ServiceClass& aClass)
+  {
+    for (std::size_t i = 0; i < mClasses.size(); ++i) {
+      if (mClasses[i].name == aClass.name) {
+        mClasses[i] = aClass;
+        return static_cast<std::uint16_t>(i);
+      }
+    }
+    mClasses.push_back(aClass);
+    return static_cast<std::uint16_t>(mClasses.size() - 1);
+  }
+
+  AgentContext<Port>& mContext;
+  FlowTable mFlows;
+  ExchangeTable mExchanges;
+  TargetUsage mUsage;
+  std::string mServiceName;
+  std::vector<Config::ServiceClass> mClasses;
+  /** When the oldest opening packet without any answer was delivered. */
+  std::optional<Core::TimePoint> mUnansweredSince;
+  bool mIsDeclared = false;
+};
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/proposal.cpp
@@ -0,0 +1,40 @@
+#include "ownership/proposal.h"
+
+#include <algorithm>
+
+namespace Ownership {
+
+bool
+Quorum::isReached(const absl::flat_hash_set<Config::Identity>& aGranted) const
+{
+  const auto isGranted = [&aGranted](Config::Identity aAgent) {
+    return aGranted.contains(aAgent);
+  };
+  if (std::all_of(peers.begin(), peers.end(), isGranted)) {
+    // Without peers the home alone decides.
+    return !peers.empty() || isGranted(home);
+  }
+  return isGranted(home) && std::any_of(peers.begin(), peers.end(), isGranted);
+}
+
+bool
+Proposal::isProven() const
+{
+  return std::all_of(
+    quorums.begin(), quorums.end(), [this](const Quorum& aQuorum) {
+      return aQuorum.isReached(granted);
+    });
+}
+
+absl::flat_hash_set<Config::Identity>
+Proposal::participants() const
+{
+  absl::flat_hash_set<Config::Identity> all;
+  for (const auto& it : quorums) {
+    all.insert(it.home);
+    all.insert(it.peers.begin(), it.peers.end());
+  }
+  return all;
+}
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/searchroute.cpp
@@ -0,0 +1,95 @@
+#include "ownership/searchroute.h"
+
+#include <algorithm>
+
+namespace Ownership {
+
+namespace {
+
+/** Homes whose peers may own a flow: the first and its stand-in. */
+constexpr std::size_t kHomesSearched = 2;
+
+class RouteBuilder
+{
+public:
+  RouteBuilder(const Routing::ViewHistory& aViews,
+               const SearchRequest& aRequest)
+    : mViews(aViews)
+    , mRequest(aRequest)
+  {
+  }
+
+  SearchRoute build()
+  {
+    addTarget(*mViews.current(), mRequest.knownOwner);
+    const auto known = mRoute.size();
+    addView(*mViews.current());
+    for (const auto& it : mViews.earlier()) {
+      addView(*it);
+    }
+    if (mRoute.size() > known) {
+      const auto n = mRequest.rotation % (mRoute.size() - known);
+      std::rotate(
+        mRoute.begin() + known, mRoute.begin() + known + n, mRoute.end());
+    }
+    return mRoute;
+  }
+
+private:
+  void addView(const Routing::FleetView& aView)
+  {
+    const auto* service = aView.findService(mRequest.service);
+    if (service == nullptr) {
+      return;
+    }
+    const auto homes = service->ring.homes(mRequest.flowHash);
+    for (std::size_t i = 0; i < std::min(homes.size(), kHomesSearched); ++i) {
+      addTarget(aView, service->targets[homes[i]].target->identity);
+      for (const auto peer : service->ring.peers(homes[i])) {
+        addTarget(aView, service->targets[peer].target->identity);
+      }
+    }
+  }
+
+  void addTarget(const Routing::FleetView& aView, Config::Identity aTarget)
+  {
+    if (aTarget == 0 || aTarget == mRequest.self || mRequest.isDead(aTarget) ||
+        mRoute.size() >= Packet::ForwardHeader::kMaximumRoute) {
+      return;
+    }
+    const auto endpoint = endpointOf(aView, aTarget);
+    const bool isNew =
+      std::find(mRoute.begin(), mRoute.end(), endpoint) == mRoute.end();
+    if (!endpoint.isNull() && isNew) {
+      mRoute.push_back(endpoint);
+    }
+  }
+
+  Core::Endpoint endpointOf(const Routing::FleetView& aView,
+                            Config::Identity aTarget) const
+  {
+    // A target that left the document may still be known by an earlier view.
+    for (const auto* view : { mViews.current().get(), &aView }) {
+      const auto* place = view->findTarget(aTarget);
+      if (place != nullptr && !place->endpoint.isNull()) {
+        return place->endpoint;
+      }
+    }
+    return {};
+  }
+
+  const Routing::ViewHistory& mViews;
+  const SearchRequest& mRequest;
+  SearchRoute mRoute;
+};
+
+} // namespace
+
+SearchRoute
+findSearchRoute(const Routing::ViewHistory& aViews,
+                const SearchRequest& aRequest)
+{
+  return RouteBuilder(aViews, aRequest).build();
+}
+
+} // namespace Ownership
--- /dev/null
+++ b/src/libs/packet/flowkey.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace Packet {
+
+/** The transport protocols that are balanced; values as in the IPv4 header. */
+enum class Protocol : std::uint8_t
+{
+  Icmp = 1,
+  Tcp = 6,
+  Udp = 17,
+};
+
+/** Identifies a flow: caller, service address and protocol. */
+struct FlowKey
+{
+  Core::Endpoint caller;
+  Core::Endpoint service;
+  Protocol protocol = Protocol::Tcp;
+
+  auto operator<=>(const FlowKey&) const = default;
+
+  template<typename H>
+  friend H AbslHashValue(H aState, const FlowKey& aKey)
+  {
+    return H::combine(std::move(aState),
+                      aKey.caller.address,
+                      aKey.caller.port,
+                      aKey.service.address,
+                      aKey.service.port,
+                      aKey.protocol);
+  }
+};
+
+/** "tcp 192.0.2.1:4000 -> 198.51.100.1:80", for logs. */
+std::string
+formatFlowKey(const FlowKey& aKey);
+
+} // namespace Packet
--- /dev/null
+++ b/src/libs/platform/platformclient.cpp
@@ -0,0 +1,101 @@
+#include "platform/platformclient.h"
+
+#include "core/errorcontext.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <httplib.h>
+
+namespace Platform {
+
+namespace {
+
+constexpr std::chrono::seconds kConnectTimeout{ 2 };
+constexpr std::chrono::seconds kReadMargin{ 3 };
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+constexpr const char* kIndexHeader = "X-Index";
+
+} // namespace
+
+class PlatformClient::Private
+{
+public:
+  Private(const Core::Endpoint& aService, std::string aEnvironment)
+    : environment(std::move(aEnvironment))
+    , peer(Core::formatEndpoint(aService))
+    , client(Core::formatAddress(aService.address), aService.port)
+  {
+    client.set_connection_timeout(kConnectTimeout);
+    client.set_keep_alive(true);
+  }
+
+  absl::StatusOr<WatchedValue> watch(const std::string& aPath,
+                                     std::uint64_t aIndex,
+                                     std::chrono::milliseconds aWait)
+  {
+    client.set_read_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(aWait) + kReadMargin);
+    const auto path = absl::StrCat(
+      aPath, "?index=", aIndex, "&waitMilliseconds=", aWait.count());
+    const auto result = client.Get(path);
+    const auto step = absl::StrCat("read ", path);
+    if (!result) {
+      return Core::withContext(
+        absl::UnavailableError(httplib::to_string(result.error())), step, peer);
+    }
+    WatchedValue value;
+    value.index = aIndex;
+    if (result->status == kNotModified) {
+      return value;
+    }
+    if (result->status != kOk) {
+      return Core::withContext(
+        absl::UnavailableError(absl::StrCat("HTTP status ", result->status)),
+        step,
+        peer);
+    }
+    if (!absl::SimpleAtoi(result->get_header_value(kIndexHeader),
+                          &value.index)) {
+      return Core::withContext(
+        absl::InternalError("no X-Index in the answer"), step, peer);
+    }
+    value.text = result->body;
+    value.hasChanged = true;
+    return value;
+  }
+
+  std::string environment;
+  std::string peer;
+  httplib::Client client;
+};
+
+PlatformClient::PlatformClient(const Core::Endpoint& aService,
+                               std::string aEnvironment)
+  : d(std::make_unique<Private>(aService, std::move(aEnvironment)))
+{
+}
+
+PlatformClient::~PlatformClient() = default;
+
+absl::StatusOr<WatchedValue>
+PlatformClient::watchDocument(std::uint64_t aIndex,
+                              std::chrono::milliseconds aWait)
+{
+  return d->watch("/v1/documents/" + d->environment, aIndex, aWait);
+}
+
+absl::StatusOr<WatchedValue>
+PlatformClient::watchInstances(std::uint64_t aIndex,
+                               std::chrono::milliseconds aWait)
+{
+  return d->watch("/v1/instances", aIndex, aWait);
+}
+
+void
+PlatformClient::cancel()
+{
+  d->client.stop();
+}
+
+} // namespace Platform
--- /dev/null
+++ b/src/libs/routing/fleetview.cpp
@@ -0,0 +1,126 @@
+#include "routing/fleetview.h"
+
+namespace Routing {
+
+namespace {
+
+HomeRing
+ringOf(const Config::Service& aService)
+{
+  std::vector<Config::Identity> identities;
+  identities.reserve(aService.targets.size());
+  for (const auto& it : aService.targets) {
+    identities.push_back(it.identity);
+  }
+  return HomeRing(identities);
+}
+
+std::uint64_t
+balancerKey(const Core::Endpoint& aEndpoint)
+{
+  constexpr unsigned kPortBits = 16;
+  return (static_cast<std::uint64_t>(aEndpoint.address) << kPortBits) |
+         aEndpoint.port;
+}
+
+} // namespace
+
+std::optional<std::uint32_t>
+ServiceView::indexOf(Config::Identity aTarget) const
+{
+  for (std::uint32_t i = 0; i < targets.size(); ++i) {
+    if (targets[i].target->identity == aTarget) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+FleetView::FleetView(std::shared_ptr<const Config::Document> aDocument,
+                     const Config::InstanceList& aInstances)
+  : mDocument(std::move(aDocument))
+{
+  absl::flat_hash_map<std::string, const Config::Instance*> places;
+  for (const auto& it : aInstances.instances) {
+    if (it.role == Config::InstanceRole::Target) {
+      places.emplace(it.name, &it);
+    } else {
+      mBalancerZones.emplace(balancerKey(it.data), it.zone);
+    }
+  }
+  mServices.reserve(mDocument->services.size());
+  for (const auto& it : mDocument->services) {
+    addService(it, places);
+  }
+}
+
+void
+FleetView::addService(
+  const Config::Service& aService,
+  const absl::flat_hash_map<std::string, const Config::Instance*>& aPlaces)
+{
+  const auto serviceIndex = static_cast<std::uint32_t>(mServices.size());
+  ServiceView view{ &aService, ringOf(aService), {} };
+  for (std::uint32_t i = 0; i < aService.targets.size(); ++i) {
+    const auto& target = aService.targets[i];
+    TargetPlace place{ &target, {}, target.draining };
+    if (const auto it = aPlaces.find(target.name); it != aPlaces.end()) {
+      place.endpoint = it->second->data;
+      place.leaving = target.draining || it->second->leaving;
+    }
+    view.targets.push_back(place);
+    mTargetIndex[target.identity] = { serviceIndex, i };
+  }
+  for (std::uint32_t i = 0; i < aService.classes.size(); ++i) {
+    const auto& entry = aService.classes[i];
+    const AddressKey key{ { aService.address, entry.port }, entry.protocol };
+    mClassIndex[key] = { serviceIndex, i };
+  }
+  mServiceIndex[aService.identity] = serviceIndex;
+  mServices.push_back(std::move(view));
+}
+
+ClassView
+FleetView::findClass(const Core::Endpoint& aAddress,
+                     Packet::Protocol aProtocol) const
+{
+  const auto it = mClassIndex.find(AddressKey{ aAddress, aProtocol });
+  if (it == mClassIndex.end()) {
+    return {};
+  }
+  const auto& view = mServices[it->second.service];
+  return { &view, &view.service->classes[it->second.index] };
+}
+
+const ServiceView*
+FleetView::findService(Config::Identity aService) const
+{
+  const auto it = mServiceIndex.find(aService);
+  return it == mServiceIndex.end() ? nullptr : &mServices[it->second];
+}
+
+const ServiceView*
+FleetView::serviceOfTarget(Config::Identity aTarget) const
+{
+  const auto it = mTargetIndex.find(aTarget);
+  return it == mTargetIndex.end() ? nullptr : &mServices[it->second.service];
+}
+
+const TargetPlace*
+FleetView::findTarget(Config::Identity aTarget) const
+{
+  const auto it = mTargetIndex.find(aTarget);
+  if (it == mTargetIndex.end()) {
+    return nullptr;
+  }
+  return &mServices[it->second.service].targets[it->second.index];
+}
+
+absl::string_view
+FleetView::zoneOfBalancer(const Core::Endpoint& aEndpoint) const
+{
+  const auto it = mBalancerZones.find(balancerKey(aEndpoint));
+  return it == mBalancerZones.end() ? absl::string_view() : it->second;
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/fleetview.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "config/document.h"
+#include "config/instancelist.h"
+#include "packet/flowkey.h"
+#include "routing/homering.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <absl/strings/string_view.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Routing {
+
+/** What is known of one target: its declaration and where it is. */
+struct TargetPlace
+{
+  const Config::Target* target = nullptr;
+  /** Data endpoint of its agent; null while the list lacks it. */
+  Core::Endpoint endpoint;
+  bool leaving = false;
+};
+
+/** A service with its ring. */
+struct ServiceView
+{
+  const Config::Service* service = nullptr;
+  HomeRing ring;
+  /** In the document's order, as the ring's indexes. */
+  std::vector<TargetPlace> targets;
+
+  /** Index of a target; nothing when it is not of this service. */
+  std::optional<std::uint32_t> indexOf(Config::Identity aTarget) const;
+};
+
+/** A class of a service, found by an address. */
+struct ClassView
+{
+  const ServiceView* service = nullptr;
+  const Config::ServiceClass* serviceClass = nullptr;
+
+  explicit operator bool() const { return serviceClass != nullptr; }
+};
+
+/**
+ * One revision of the document joined with the instance list. It never
+ * changes; a new one takes its place.
+ */
+class FleetView
+{
+public:
+  FleetView(std::shared_ptr<const Config::Document> aDocument,
+            const Config::InstanceList& aInstances);
+  FleetView(const FleetView&) = delete;
+  FleetView& operator=(const FleetView&) = delete;
+
+  const Config::Document& document() const { return *mDocument; }
+  std::uint64_t revision() const { return mDocument->revision; }
+  const std::vector<ServiceView>& services() const { return mServices; }
+
+  /** The class that a packet to this address belongs to. */
+  ClassView findClass(const Core::Endpoint& aAddress,
+                      Packet::Protocol aProtocol) const;
+  const ServiceView* findService(Config::Identity aService) const;
+  /** The service that a target belongs to; null for none. */
+  const ServiceView* serviceOfTarget(Config::Identity aTarget) const;
+  /** Null when the target is not in the document. */
+  const TargetPlace* findTarget(Config::Identity aTarget) const;
+  /** Zone of the balancer at a data endpoint; empty when not listed. */
+  absl::string_view zoneOfBalancer(const Core::Endpoint& aEndpoint) const;
+
+private:
+  struct Position
+  {
+    std::uint32_t service;
+    std::uint32_t index;
+  };
+  struct AddressKey
+  {
+    Core::Endpoint address;
+    Packet::Protocol protocol;
+
+    bool operator==(const AddressKey&) const = default;
+    template<typename H>
+    friend H AbslHashValue(H aState, const AddressKey& aKey)
+    {
+      return H::combine(std::move(aState),
+                        aKey.address.address,
+                        aKey.address.port,
+                        aKey.protocol);
+    }
+  };
+
+  void addService(
+    const Config::Service& aService,
+    const absl::flat_hash_map<std::string, const Config::Instance*>& aPlaces);
+
+  std::shared_ptr<const Config::Document> mDocument;
+  std::vector<ServiceView> mServices;
+  absl::flat_hash_map<Config::Identity, std::uint32_t> mServiceIndex;
+  absl::flat_hash_map<Config::Identity, Position> mTargetIndex;
+  absl::flat_hash_map<AddressKey, Position> mClassIndex;
+  /** Keyed by address and port in one number. */
+  absl::flat_hash_map<std::uint64_t, std::string> mBalancerZones;
+};
+
+using FleetViewPointer = std::shared_ptr<const FleetView>;
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/flowhasher.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "config/settings.h"
+#include "packet/flowkey.h"
+
+#include <cstdint>
+
+namespace Routing {
+
+/**
+ * SipHash-2-4 of a flow under the environment's key, so that a caller cannot
+ * choose addresses that meet at one target.
+ */
+class FlowHasher
+{
+public:
+  explicit FlowHasher(const Config::FlowHashKey& aKey);
+
+  std::uint64_t hash(const Packet::FlowKey& aFlow) const;
+
+private:
+  Config::FlowHashKey mKey;
+};
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/routing/viewhistory.cpp
@@ -0,0 +1,56 @@
+#include "routing/viewhistory.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace Routing {
+
+absl::Status
+ViewHistory::adopt(FleetViewPointer aView,
+                   Core::TimePoint aNow,
+                   Replaced aReplaced)
+{
+  if (mCurrent == nullptr) {
+    mCurrent = std::move(aView);
+    return absl::OkStatus();
+  }
+  if (aView->revision() < mCurrent->revision()) {
+    return absl::FailedPreconditionError(absl::StrCat("revision ",
+                                                      aView->revision(),
+                                                      " is older than ",
+                                                      mCurrent->revision(),
+                                                      ", which is in force"));
+  }
+  const bool isNewer = aView->revision() > mCurrent->revision();
+  if (isNewer && aReplaced == Replaced::Keep) {
+    mEarlier.insert(mEarlier.begin(), mCurrent);
+    mReplacedAt.insert(mReplacedAt.begin(), aNow);
+    if (mEarlier.size() > kEarlierViews) {
+      mEarlier.pop_back();
+      mReplacedAt.pop_back();
+    }
+  }
+  if (!isNewer && aView->document().digest != mCurrent->document().digest) {
+    return absl::FailedPreconditionError(
+      absl::StrCat("revision ",
+                   aView->revision(),
+                   " is in force with digest ",
+                   mCurrent->document().digest,
+                   ", and was offered with digest ",
+                   aView->document().digest));
+  }
+  mCurrent = std::move(aView);
+  return absl::OkStatus();
+}
+
+void
+ViewHistory::forgetReplacedBefore(Core::TimePoint aTime,
+                                  const Predicate& aIsActedOn)
+{
+  while (!mReplacedAt.empty() && mReplacedAt.back() < aTime &&
+         !aIsActedOn(*mEarlier.back())) {
+    mReplacedAt.pop_back();
+    mEarlier.pop_back();
+  }
+}
+
+} // namespace Routing
--- /dev/null
+++ b/src/libs/telemetry/eventcatalogue.cpp
@@ -0,0 +1,75 @@
+#include "telemetry/eventcatalogue.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Telemetry {
+
+namespace {
+
+constexpr std::array kEvents{
+  EventDescription{ Event::ProcessStarted,
+                    Severity::Information,
+                    "process-started" },
+  EventDescription{ Event::ProcessStopping,
+                    Severity::Information,
+                    "process-stopping" },
+  EventDescription{ Event::ProcessStopped,
+                    Severity::Information,
+                    "process-stopped" },
+  EventDescription{ Event::SettingsRefused,
+                    Severity::Error,
+                    "settings-refused" },
+  EventDescription{ Event::StartFailed, Severity::Error, "start-failed" },
+  EventDescription{ Event::ViewInForce,
+                    Severity::Information,
+                    "view-in-force" },
+  EventDescription{ Event::ViewRefused, Severity::Error, "view-refused" },
+  EventDescription{ Event::ServiceUnreachable,
+                    Severity::Warning,
+                    "service-unreachable" },
+  EventDescription{ Event::ServiceReachable,
+                    Severity::Information,
+                    "service-reachable" },
+  EventDescription{ Event::PeerUnreachable,
+                    Severity::Warning,
+                    "peer-unreachable" },
+  EventDescription{ Event::InstanceListRefused,
+                    Severity::Error,
+                    "instance-list-refused" },
+  EventDescription{ Event::MalformedPacket,
+                    Severity::Warning,
+                    "malformed-packet" },
+  EventDescription{ Event::WrongService, Severity::Warning, "wrong-service" },
+  EventDescription{ Event::FlowNotFound, Severity::Warning, "flow-not-found" },
+  EventDescription{ Event::FlowRefused, Severity::Warning, "flow-refused" },
+  EventDescription{ Event::ClaimUnproven, Severity::Warning, "claim-unproven" },
+  EventDescription{ Event::SocketFailed, Severity::Error, "socket-failed" },
+  EventDescription{ Event::DrainStarted,
+                    Severity::Information,
+                    "drain-started" },
+  EventDescription{ Event::DrainFinished,
+                    Severity::Information,
+                    "drain-finished" },
+  EventDescription{ Event::DrainDeadline, Severity::Warning, "drain-deadline" },
+  EventDescription{ Event::FlowsAdopted,
+                    Severity::Information,
+                    "flows-adopted" },
+  EventDescription{ Event::ProcessSlept, Severity::Warning, "process-slept" },
+};
+
+} // namespace
+
+const EventDescription&
+describe(Event aEvent)
+{
+  const auto* const it =
+    std::find_if(kEvents.begin(),
+                 kEvents.end(),
+                 [aEvent](const EventDescription& aDescription) {
+                   return aDescription.event == aEvent;
+                 });
+  return *it;
+}
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <absl/strings/string_view.h>
+
+namespace Telemetry {
+
+/** The numbered events of the logs; docs/EVENTS.md explains each. */
+enum class Event
+{
+  ProcessStarted = 100,
+  ProcessStopping = 101,
+  ProcessStopped = 102,
+  SettingsRefused = 103,
+  StartFailed = 104,
+  ViewInForce = 200,
+  ViewRefused = 201,
+  ServiceUnreachable = 202,
+  ServiceReachable = 203,
+  PeerUnreachable = 204,
+  InstanceListRefused = 205,
+  MalformedPacket = 300,
+  WrongService = 301,
+  FlowNotFound = 302,
+  FlowRefused = 303,
+  ClaimUnproven = 304,
+  SocketFailed = 305,
+  DrainStarted = 400,
+  DrainFinished = 401,
+  DrainDeadline = 402,
+  FlowsAdopted = 403,
+  ProcessSlept = 404,
+};
+
+enum class Severity
+{
+  Debug,
+  Information,
+  Warning,
+  Error,
+};
+
+struct EventDescription
+{
+  Event event;
+  Severity severity;
+  /** A short name, as in "view-in-force". */
+  absl::string_view name;
+};
+
+const EventDescription&
+describe(Event aEvent);
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/libs/telemetry/metricswriter.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "telemetry/counterset.h"
+#include "telemetry/histogramset.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <string>
+
+namespace Telemetry {
+
+/** Builds a page of the Prometheus text exposition format, version 0.0.4. */
+class MetricsWriter
+{
+public:
+  void counter(absl::string_view aName, std::uint64_t aValue)
+  {
+    absl::StrAppend(&mPage, "# TYPE lacewingspread_", aName, " counter\n");
+    absl::StrAppend(&mPage, "lacewingspread_", aName, " ", aValue, "\n");
+  }
+
+  void gauge(absl::string_view aName, double aValue)
+  {
+    absl::StrAppend(&mPage, "# TYPE lacewingspread_", aName, " gauge\n");
+    absl::StrAppend(&mPage, "lacewingspread_", aName, " ", aValue, "\n");
+  }
+
+  template<typename Enum, typename NameOf>
+  void counters(const CounterSet<Enum>& aCounters, NameOf aNameOf)
+  {
+    for (std::size_t i = 0; i < CounterSet<Enum>::kSize; ++i) {
+      const auto it = static_cast<Enum>(i);
+      counter(absl::StrCat(aNameOf(it), "_total"), aCounters.value(it));
+    }
+  }
+
+  void histograms(const std::vector<HistogramSummary>& aSummaries)
+  {
+    absl::StrAppend(&mPage,
+                    "# TYPE lacewingspread_flow_duration_seconds summary\n");
+    for (const auto& it : aSummaries) {
+      const auto labels = absl::StrCat(
+        "service=\"", it.service, "\",", it.kind, "=\"", it.name, "\"");
+      quantile(labels, "0.5", it.p50);
+      quantile(labels, "0.9", it.p90);
+      quantile(labels, "0.99", it.p99);
+      line("_sum", labels, it.sum);
+      line("_count", labels, static_cast<double>(it.count));
+    }
+  }
+
+  const std::string& page() const { return mPage; }
+
+private:
+  void quantile(const std::string& aLabels,
+                const char* aQuantile,
+                double aValue)
+  {
+    line("", absl::StrCat(aLabels, ",quantile=\"", aQuantile, "\""), aValue);
+  }
+
+  void line(const char* aSuffix, const std::string& aLabels, double aValue)
+  {
+    absl::StrAppend(&mPage,
+                    "lacewingspread_flow_duration_seconds",
+                    aSuffix,
+                    "{",
+                    aLabels,
+                    "} ",
+                    aValue,
+                    "\n");
+  }
+
+  std::string mPage;
+};
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/libs/telemetry/statusserver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Telemetry {
+
+/** Where the pages of a status server come from; called on its threads. */
+struct StatusPages
+{
+  /** The text exposition page. */
+  std::function<std::string()> metrics;
+  /** JSON for `lacewingctl status`. */
+  std::function<std::string()> status;
+  /** JSON for `lacewingctl histogram`. */
+  std::function<std::string()> histograms;
+  /** True when the process takes new work. */
+  std::function<bool()> isReady;
+};
+
+/** Serves /metrics, /status, /histograms, /healthz and /readyz over HTTP. */
+class StatusServer
+{
+public:
+  /** Fails when the endpoint cannot be bound. */
+  static absl::StatusOr<std::unique_ptr<StatusServer>> start(
+    const Core::Endpoint& aEndpoint,
+    StatusPages aPages);
+  ~StatusServer();
+
+private:
+  class Private;
+  explicit StatusServer(std::unique_ptr<Private> aPrivate);
+
+  std::unique_ptr<Private> d;
+};
+
+} // namespace Telemetry
--- /dev/null
+++ b/src/libs/transport/backendport.cpp
@@ -0,0 +1,56 @@
+#include "transport/backendport.h"
+
+#include "messages/flowid.h"
+#include "messages/peermessages.pb.h"
+
+namespace Transport {
+
+UdpBackendPort::UdpBackendPort(const UdpSocket& aSocket,
+                               const Core::Endpoint& aServer)
+  : mSender(aSocket)
+  , mServer(aServer)
+{
+}
+
+void
+UdpBackendPort::deliver(absl::Span<const std::uint8_t> aPacket)
+{
+  mBuffer.clear();
+  Packet::GuePacket gue;
+  gue.body = aPacket;
+  gue.appendTo(mBuffer);
+  mSender.send(mServer, mBuffer);
+}
+
+void
+UdpBackendPort::askForFlows()
+{
+  Messages::BackendMessage message;
+  message.mutable_flows_request();
+  const auto text = message.SerializeAsString();
+  mBuffer.clear();
+  Packet::GuePacket gue;
+  gue.content = Packet::GueContent::ControlMessage;
+  gue.body = absl::MakeConstSpan(
+    reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
+  gue.appendTo(mBuffer);
+  mSender.send(mServer, mBuffer);
+}
+
+std::optional<std::vector<Packet::FlowKey>>
+readBackendFlows(const Packet::GuePacket& aPacket)
+{
+  Messages::BackendMessage message;
+  const auto n = static_cast<int>(aPacket.body.size());
+  if (aPacket.content != Packet::GueContent::ControlMessage ||
+      !message.ParseFromArray(aPacket.body.data(), n) || !message.has_flows()) {
+    return std::nullopt;
+  }
+  std::vector<Packet::FlowKey> flows;
+  for (const auto& it : message.flows().flows()) {
+    flows.push_back(Messages::readFlow(it));
+  }
+  return flows;
+}
+
+} // namespace Transport
--- /dev/null
+++ b/src/libs/transport/udpsocket.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/filedescriptor.h"
+
+#include <absl/status/statusor.h>
+
+namespace Transport {
+
+/** A bound UDP socket over IPv4 that does not block. */
+class UdpSocket
+{
+public:
+  /** Errors tell the endpoint. */
+  static absl::StatusOr<UdpSocket> bind(const Core::Endpoint& aEndpoint);
+
+  int descriptor() const { return mDescriptor.value(); }
+  const Core::Endpoint& endpoint() const { return mEndpoint; }
+
+private:
+  UdpSocket(Core::FileDescriptor aDescriptor, const Core::Endpoint& aEndpoint);
+
+  Core::FileDescriptor mDescriptor;
+  Core::Endpoint mEndpoint;
+};
+
+} // namespace Transport
--- /dev/null
+++ b/tests/auto/config/tst_config.cpp
@@ -0,0 +1,158 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "config/documentparser.h"
+#include "config/instancelist.h"
+#include "config/settings.h"
+
+#include <absl/strings/str_replace.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace Config;
+
+namespace {
+
+std::string
+readExample(const std::string& aName)
+{
+  std::stringstream text;
+  text << std::ifstream(std::string(EXAMPLES_FOLDER) + "/" + aName).rdbuf();
+  return text.str();
+}
+
+/** The faults of the Stalbo document after one replacement, a line each. */
+std::string
+faultsWith(const std::string& aBefore, const std::string& aAfter)
+{
+  const auto text = readExample("stalbo/document.json");
+  const auto at = text.find(aBefore);
+  REQUIRE(at != std::string::npos);
+  auto changed = text;
+  changed.replace(at, aBefore.size(), aAfter);
+  const auto result = parseDocumentOrStatus("d.json", changed);
+  return result.ok() ? "" : std::string(result.status().message());
+}
+
+} // namespace
+
+TEST_CASE("the documents of both users hold the brief's sizes")
+{
+  const auto stalbo =
+    parseDocumentOrStatus("s", readExample("stalbo/document.json"));
+  REQUIRE(stalbo.ok());
+  REQUIRE(stalbo->services.size() == 2);
+  CHECK(stalbo->services[0].targets.size() == 7);
+  CHECK(stalbo->services[1].targets.size() == 3);
+  CHECK(stalbo->services[0].targets[0].slots == 7);
+  CHECK(stalbo->digest.size() == 64);
+  const auto chama =
+    parseDocumentOrStatus("c", readExample("chama/document.json"));
+  REQUIRE(chama.ok());
+  CHECK(chama->services[0].targets[0].slots == 4);
+  CHECK(chama->services[0].targets[0].connections == 2000);
+}
+
+TEST_CASE("the example settings of both roles are right")
+{
+  for (const std::string user : { "stalbo", "chama" }) {
+    const auto balancer =
+      parseBalancerSettings("b", readExample(user + "/balancer.json"));
+    CHECK(std::holds_alternative<BalancerSettings>(balancer));
+    const auto agent =
+      parseAgentSettings("a", readExample(user + "/agent.json"));
+    CHECK(std::holds_alternative<AgentSettings>(agent));
+  }
+}
+
+TEST_CASE("each fault of a document names the file, the place and what was "
+          "expected")
+{
+  CHECK(faultsWith("\"revision\": 1", "\"revison\": 1")
+          .find("d.json:3:14: revison: unknown key") != std::string::npos);
+  CHECK(faultsWith("\"revision\": 1", "\"revison\": 1")
+          .find("revision: this key is missing") != std::string::npos);
+  CHECK(faultsWith("\"slots\": 7", "\"slots\": \"7\"")
+          .find("services[0].targets[0].slots: expected an integer, found a "
+                "string") != std::string::npos);
+  CHECK(faultsWith("\"slots\": 7", "\"slots\": 7.5")
+          .find("expected an integer, found a number") != std::string::npos);
+  CHECK(faultsWith("\"slots\": 7", "\"slots\": 0")
+          .find("expected an integer from 1 to 65536, found 0") !=
+        std::string::npos);
+  CHECK(faultsWith("\"port\": 7001", "\"port\": 70000")
+          .find("expected an integer from 1 to 65535") != std::string::npos);
+  CHECK(faultsWith("198.51.100.10", "198.51.100.300")
+          .find("expected an IPv4 address") != std::string::npos);
+  CHECK(faultsWith("\"register-2\"", "\"register-1\"")
+          .find("target \"register-1\" is already declared at "
+                "services[0].targets[0].name") != std::string::npos);
+  CHECK(faultsWith("\"evidence-1\"", "\"register-1\"")
+          .find("is already declared at services[0].targets[0].name") !=
+        std::string::npos);
+  CHECK(faultsWith("\"zone\": \"pernik\"", "\"zone\": \"plovdiv\"")
+          .find("zone \"plovdiv\" is not declared") != std::string::npos);
+  CHECK(faultsWith("10.1.0.0/16", "10.1.0.0/40").find("expected a prefix") !=
+        std::string::npos);
+  CHECK(
+    faultsWith("\"port\": 7002", "\"port\": 7001").find("address and port") !=
+    std::string::npos);
+}
+
+TEST_CASE("all faults are told at once")
+{
+  const auto text =
+    absl::StrReplaceAll(readExample("stalbo/document.json"),
+                        { { "\"slots\": 7", "\"slots\": \"7\"" } });
+  const auto result = parseDocument("d.json", text);
+  REQUIRE(std::holds_alternative<Diagnostics>(result));
+  CHECK(std::get<Diagnostics>(result).size() == 10);
+}
+
+TEST_CASE("a syntax fault tells line and column")
+{
+  const auto result = parseDocument("d.json", "{\n  \"revision\": ,\n}");
+  REQUIRE(std::holds_alternative<Diagnostics>(result));
+  const auto& faults = std::get<Diagnostics>(result);
+  REQUIRE(!faults.empty());
+  CHECK(faults[0].line == 2);
+  CHECK(faults[0].file == "d.json");
+}
+
+TEST_CASE("a duplicate key and text after the document are refused")
+{
+  CHECK_FALSE(
+    parseDocumentOrStatus("d", "{\"revision\":1,\"revision\":2}").ok());
+  const auto text = readExample("stalbo/document.json");
+  CHECK_FALSE(parseDocumentOrStatus("d", text + "{}").ok());
+  CHECK_FALSE(parseDocumentOrStatus("d", "").ok());
+  CHECK_FALSE(parseDocumentOrStatus("d", "[]").ok());
+}
+
+TEST_CASE("settings of the wrong role or with a bad key are refused")
+{
+  const auto text = readExample("stalbo/agent.json");
+  const auto asBalancer = parseBalancerSettings("f", text);
+  REQUIRE(std::holds_alternative<Diagnostics>(asBalancer));
+  const auto badKey = parseAgentSettings(
+    "f",
+    absl::StrReplaceAll(text,
+                        { { "000102030405060708090a0b0c0d0e0f", "0g" } }));
+  REQUIRE(std::holds_alternative<Diagnostics>(badKey));
+  CHECK(std::get<Diagnostics>(badKey)[0].message ==
+        "expected 32 hexadecimal digits");
+}
+
+TEST_CASE("an instance list is read strictly")
+{
+  const std::string good =
+    R"({"instances":[{"name":"a","role":"target","zone":"z",
+        "data":"127.0.0.1:1","control":"127.0.0.1:2","state":"leaving"}]})";
+  const auto list = parseInstanceList("p", good);
+  REQUIRE(list.ok());
+  CHECK(list->instances[0].leaving);
+  CHECK_FALSE(
+    parseInstanceList("p", absl::StrReplaceAll(good, { { "leaving", "gone" } }))
+      .ok());
+}
--- /dev/null
+++ b/tests/auto/routing/tst_routing.cpp
@@ -0,0 +1,147 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "routing/flowhasher.h"
+#include "routing/homering.h"
+#include "routing/viewhistory.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <set>
+
+using namespace Routing;
+
+namespace {
+
+std::vector<Config::Identity>
+targets(std::size_t aCount)
+{
+  std::vector<Config::Identity> list;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    list.push_back(Config::identityOf(absl::StrCat("target-", i)));
+  }
+  return list;
+}
+
+/** An obviously right ring: sorts all points for every look-up. */
+Config::Identity
+naiveHome(const HomeRing& aRing,
+          const std::vector<Config::Identity>& aTargets,
+          std::uint64_t aHash)
+{
+  const auto homes = aRing.homes(aHash);
+  return aTargets[homes[0]];
+}
+
+FleetViewPointer
+viewOf(std::uint64_t aRevision, const std::string& aDigest)
+{
+  auto document = std::make_shared<Config::Document>();
+  document->revision = aRevision;
+  document->digest = aDigest;
+  return std::make_shared<FleetView>(document, Config::InstanceList{});
+}
+
+constexpr Core::TimePoint kStart{};
+
+} // namespace
+
+TEST_CASE("homes are distinct and depend on identities alone")
+{
+  const auto list = targets(7);
+  auto reversed = list;
+  std::reverse(reversed.begin(), reversed.end());
+  const HomeRing ring(list);
+  const HomeRing other(reversed);
+  for (std::uint64_t hash = 0; hash < 5000; ++hash) {
+    const auto value = hash * 0x9e3779b97f4a7c15;
+    const auto homes = ring.homes(value);
+    REQUIRE(homes.size() == 3);
+    CHECK(std::set(homes.begin(), homes.end()).size() == 3);
+    CHECK(naiveHome(ring, list, value) == naiveHome(other, reversed, value));
+  }
+}
+
+TEST_CASE("adding a target moves only the flows that it takes")
+{
+  const auto before = targets(20);
+  const auto after = targets(21);
+  const HomeRing ringBefore(before);
+  const HomeRing ringAfter(after);
+  int moved = 0;
+  for (std::uint64_t hash = 0; hash < 20'000; ++hash) {
+    const auto value = hash * 0x9e3779b97f4a7c15;
+    const auto oldHome = naiveHome(ringBefore, before, value);
+    const auto newHome = naiveHome(ringAfter, after, value);
+    if (oldHome != newHome) {
+      ++moved;
+      CHECK(newHome == after.back());
+    }
+  }
+  CHECK(moved > 0);
+}
+
+TEST_CASE("a home has seven distinct peers or all others, and never itself")
+{
+  for (const std::size_t count : { 1, 2, 3, 7, 8, 9, 50, 300 }) {
+    const HomeRing ring(targets(count));
+    for (std::uint32_t home = 0; home < count; ++home) {
+      const auto peers = ring.peers(home);
+      CHECK(peers.size() == std::min<std::size_t>(count - 1, 7));
+      CHECK(std::set(peers.begin(), peers.end()).size() == peers.size());
+      CHECK(std::count(peers.begin(), peers.end(), home) == 0);
+    }
+  }
+}
+
+TEST_CASE("a ring without targets has no home")
+{
+  CHECK(HomeRing({}).homes(5).empty());
+}
+
+TEST_CASE("the flow hash depends on the key and on every part of the flow")
+{
+  Config::FlowHashKey key{};
+  const FlowHasher hasher(key);
+  key[3] = 1;
+  const FlowHasher other(key);
+  Packet::FlowKey flow{ { 1, 2 }, { 3, 4 }, Packet::Protocol::Tcp };
+  const auto value = hasher.hash(flow);
+  CHECK(value != other.hash(flow));
+  for (auto* part : { &flow.caller.port, &flow.service.port }) {
+    ++*part;
+    CHECK(hasher.hash(flow) != value);
+    --*part;
+  }
+  flow.protocol = Packet::Protocol::Udp;
+  CHECK(hasher.hash(flow) != value);
+}
+
+TEST_CASE("a view is never replaced by an older or a contradicting one")
+{
+  ViewHistory history;
+  REQUIRE(history.adopt(viewOf(5, "a"), kStart).ok());
+  CHECK_FALSE(history.adopt(viewOf(4, "a"), kStart).ok());
+  CHECK_FALSE(history.adopt(viewOf(5, "b"), kStart).ok());
+  CHECK(history.current()->revision() == 5);
+  CHECK(history.current()->document().digest == "a");
+  REQUIRE(
+    history.adopt(viewOf(6, "b"), kStart, ViewHistory::Replaced::Keep).ok());
+  CHECK(history.earlier().size() == 1);
+}
+
+TEST_CASE("an earlier view is kept while somebody acts on it")
+{
+  ViewHistory history;
+  REQUIRE(history.adopt(viewOf(1, "a"), kStart).ok());
+  REQUIRE(
+    history.adopt(viewOf(2, "b"), kStart, ViewHistory::Replaced::Keep).ok());
+  const auto late = kStart + std::chrono::hours(1);
+  history.forgetReplacedBefore(late, [](const FleetView&) { return true; });
+  CHECK(history.earlier().size() == 1);
+  history.forgetReplacedBefore(kStart, [](const FleetView&) { return false; });
+  CHECK(history.earlier().size() == 1);
+  history.forgetReplacedBefore(late, [](const FleetView&) { return false; });
+  CHECK(history.earlier().empty());
+}
--- /dev/null
+++ b/tests/standins/callers.cpp
@@ -0,0 +1,347 @@
+#include "commands.h"
+
+#include "call.h"
+#include "gueport.h"
+
+#include "config/documentparser.h"
+#include "core/systemclock.h"
+#include "packet/byteorder.h"
+
+#include <absl/strings/str_cat.h>
+#include <json/value.h>
+#include <json/writer.h>
+
+#include <poll.h>
+
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <vector>
+
+namespace StandIns {
+
+namespace {
+
+constexpr int kPollMilliseconds = 5;
+constexpr std::chrono::seconds kPatience{ 30 };
+constexpr std::chrono::milliseconds kBeatInterval{ 100 };
+constexpr std::chrono::milliseconds kRetryDelay{ 100 };
+constexpr std::uint16_t kFirstPort = 1024;
+constexpr std::size_t kAnswerBytes = 3000;
+constexpr std::size_t kUploadBytes = 60'000;
+constexpr std::uint64_t kMeanWorkMilliseconds = 60;
+
+struct RefusedCall
+{
+  std::size_t call;
+  Core::TimePoint retryAt;
+};
+
+/** Makes calls to every class of a document and keeps their outcomes. */
+class Callers
+{
+public:
+  Callers(const Config::Document& aDocument, GuePort& aPort, unsigned aSeed)
+    : mDocument(aDocument)
+    , mPort(aPort)
+    , mRandom(aSeed)
+  {
+  }
+
+  /** Starts what is due at this rate and stream count. */
+  void generate(unsigned aRate,
+                unsigned aStreams,
+                std::chrono::milliseconds aElapsed,
+                std::chrono::milliseconds aDuration,
+                Core::TimePoint aNow)
+  {
+    for (const auto& service : mDocument.services) {
+      for (const auto& it : service.classes) {
+        auto& made = mMade[absl::StrCat(service.name, "/", it.name)];
+        const bool isStream = it.occupies == Config::Occupies::Connection;
+        const auto due =
+          isStream
+            ? streamsDue(aStreams, aElapsed)
+            : static_cast<std::uint64_t>(aRate * aElapsed.count() / 1000);
+        for (; made < due; ++made) {
+          make(service, it, made, aDuration - aElapsed, aNow);
+        }
+      }
+    }
+  }
+
+  void handleDatagram(absl::Span<const std::uint8_t> aDatagram,
+                      Core::TimePoint aNow)
+  {
+    const auto gue = Packet::GuePacket::parse(aDatagram);
+    if (!gue.ok()) {
+      return;
+    }
+    const auto packet =
+      Packet::PacketView::parse(gue->body, Packet::Verify::HeadersAndPayload);
+    if (packet.ok()) {
+      const auto it = mFlows.find(packet->flowToCaller());
+      // A packet of an earlier flow of the call is of no account.
+      const bool isCurrent =
+        it != mFlows.end() &&
+        mCalls[it->second]->plan().caller == packet->destination();
+      if (isCurrent) {
+        mCalls[it->second]->handlePacket(*packet, aNow);
+        afterEvent(it->second, aNow);
+      }
+      return;
+    }
+    handleIcmp(gue->body, aNow);
+  }
+
+  void tick(Core::TimePoint aNow)
+  {
+    std::erase_if(mPending, [this, aNow](std::size_t aCall) {
+      mCalls[aCall]->tick(aNow);
+      afterEvent(aCall, aNow);
+      return mCalls[aCall]->outcome() != Outcome::Pending;
+    });
+    const auto refused = std::exchange(mRefused, {});
+    for (const auto& it : refused) {
+      if (it.retryAt <= aNow) {
+        startFlow(it.call, aNow);
+      } else {
+        mRefused.push_back(it);
+      }
+    }
+  }
+
+  std::size_t pendingCount() const { return mPending.size(); }
+
+  void giveUpPending()
+  {
+    for (auto& it : mCalls) {
+      if (it->outcome() == Outcome::Pending) {
+        it->giveUp();
+      }
+    }
+  }
+
+  Json::Value result() const
+  {
+    Json::Value calls(Json::arrayValue);
+    for (const auto& it : mCalls) {
+      Json::Value entry;
+      entry["id"] = it->plan().request.id;
+      entry["verb"] = it->plan().request.verb;
+      entry["service"] = it->plan().service;
+      entry["class"] = it->plan().serviceClass.name;
+      entry["idempotent"] = it->plan().serviceClass.idempotent;
+      entry["outcome"] = nameOf(it->outcome());
+      entry["answeredTwice"] = it->wasAnsweredTwice();
+      entry["cause"] = it->cause();
+      entry["target"] = it->answeringTarget();
+      entry["caller"] = Core::formatEndpoint(it->plan().caller);
+      entry["attempts"] = it->attempts();
+      calls.append(entry);
+    }
+    Json::Value page;
+    page["calls"] = calls;
+    page["foreignPackets"] = Json::Value::UInt64(mForeignPackets);
+    return page;
+  }
+
+private:
+  /** Streams are opened over the first second. */
+  static std::uint64_t streamsDue(unsigned aStreams,
+                                  std::chrono::milliseconds aElapsed)
+  {
+    const auto share = std::min<std::int64_t>(aElapsed.count(), 1000);
+    return aStreams * share / 1000;
+  }
+
+  void make(const Config::Service& aService,
+            const Config::ServiceClass& aClass,
+            std::uint64_t aNumber,
+            std::chrono::milliseconds aRemaining,
+            Core::TimePoint aNow)
+  {
+    CallPlan plan;
+    plan.service = aService.name;
+    plan.serviceClass = aClass;
+    plan.address = { aService.address, aClass.port };
+    plan.request.id =
+      absl::StrCat(aService.name, "-", aClass.name, "-", aNumber);
+    std::exponential_distribution<double> work(1.0 / kMeanWorkMilliseconds);
+    plan.request.workMilliseconds =
+      static_cast<std::uint64_t>(work(mRandom)) + 1;
+    if (aClass.occupies == Config::Occupies::Connection) {
+      plan.request.verb = "STREAM";
+      plan.request.workMilliseconds = kBeatInterval.count();
+      plan.request.number =
+        std::max<std::int64_t>(1, aRemaining.count() / kBeatInterval.count());
+    } else if (aClass.protocol == Packet::Protocol::Udp) {
+      plan.request.verb = "CLAIM";
+      plan.request.number = 100;
+    } else if (!aClass.idempotent) {
+      plan.request.verb = "CLAIM";
+      plan.request.number = kAnswerBytes;
+    } else if (aClass.name == "upload") {
+      plan.request.verb = "UPLOAD";
+      plan.request.number = kUploadBytes;
+    } else {
+      plan.request.verb = "REQUEST";
+      plan.request.number = kAnswerBytes;
+    }
+    mCalls.push_back(std::make_unique<Call>(
+      std::move(plan),
+      [this](const Packet::Bytes& aBytes) { mPort.send(aBytes); }));
+    mPending.push_back(mCalls.size() - 1);
+    startFlow(mCalls.size() - 1, aNow);
+  }
+
+  void startFlow(std::size_t aCall, Core::TimePoint aNow)
+  {
+    auto& call = *mCalls[aCall];
+    Packet::FlowKey flow;
+    flow.service = call.plan().address;
+    flow.protocol = call.plan().serviceClass.protocol;
+    do {
+      flow.caller = randomCaller();
+    } while (mFlows.contains(flow));
+    mFlows[flow] = aCall;
+    call.start(flow.caller, static_cast<std::uint32_t>(mRandom()), aNow);
+  }
+
+  Core::Endpoint randomCaller()
+  {
+    const auto& members = mDocument.members;
+    const auto& member = members[mRandom() % members.size()];
+    const auto host =
+      static_cast<std::uint32_t>(mRandom()) >> member.prefixLength;
+    const auto port = kFirstPort + mRandom() % (UINT16_MAX - kFirstPort);
+    return { member.address | host, static_cast<std::uint16_t>(port) };
+  }
+
+  void afterEvent(std::size_t aCall, Core::TimePoint aNow)
+  {
+    if (!mCalls[aCall]->wantsRetry()) {
+      return;
+    }
+    const auto isQueued = [aCall](const RefusedCall& aEntry) {
+      return aEntry.call == aCall;
+    };
+    if (std::none_of(mRefused.begin(), mRefused.end(), isQueued)) {
+      const auto jitter = std::chrono::milliseconds(mRandom() % 100);
+      mRefused.push_back({ aCall, aNow + kRetryDelay + jitter });
+    }
+  }
+
+  void handleIcmp(absl::Span<const std::uint8_t> aBody, Core::TimePoint aNow)
+  {
+    constexpr std::size_t kIpv4Bytes = 20;
+    constexpr std::size_t kQuotedOffset = kIpv4Bytes + 8;
+    constexpr std::size_t kWholeBytes = kQuotedOffset + kIpv4Bytes + 8;
+    const bool isUnreachable =
+      aBody.size() >= kWholeBytes && aBody[9] == 1 && aBody[kIpv4Bytes] == 3;
+    if (!isUnreachable) {
+      ++mForeignPackets;
+      return;
+    }
+    const auto* quoted = &aBody[kQuotedOffset];
+    Packet::FlowKey flow;
+    flow.caller.address = Packet::load32(quoted + 12);
+    flow.service.address = Packet::load32(quoted + 16);
+    flow.caller.port = Packet::load16(quoted + kIpv4Bytes);
+    flow.service.port = Packet::load16(quoted + kIpv4Bytes + 2);
+    flow.protocol = static_cast<Packet::Protocol>(quoted[9]);
+    const auto it = mFlows.find(flow);
+    if (it == mFlows.end()) {
+      ++mForeignPackets;
+      return;
+    }
+    // An answer about an earlier flow of the call is of no account.
+    if (mCalls[it->second]->plan().caller == flow.caller) {
+      mCalls[it->second]->handleUnreachable(aBody[kIpv4Bytes + 1]);
+      afterEvent(it->second, aNow);
+    }
+  }
+
+  const Config::Document& mDocument;
+  GuePort& mPort;
+  std::mt19937_64 mRandom;
+  std::vector<std::unique_ptr<Call>> mCalls;
+  std::map<Packet::FlowKey, std::size_t> mFlows;
+  std::map<std::string, std::uint64_t> mMade;
+  std::vector<std::size_t> mPending;
+  std::vector<RefusedCall> mRefused;
+  std::uint64_t mForeignPackets = 0;
+};
+
+void
+runLoop(Callers& aCallers,
+        GuePort& aPort,
+        const Transport::UdpSocket& aSocket,
+        const cxxopts::ParseResult& aOptions)
+{
+  const Core::SystemClock clock;
+  const std::chrono::milliseconds duration =
+    std::chrono::seconds(aOptions["seconds"].as<unsigned>());
+  const auto start = clock.now();
+  Transport::DatagramReceiver receiver;
+  pollfd entry{ aSocket.descriptor(), POLLIN, 0 };
+  while (!isStopRequested()) {
+    poll(&entry, 1, kPollMilliseconds);
+    const auto now = clock.now();
+    const auto elapsed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
+    receiver.receive(aSocket, [&](const auto& aDatagram) {
+      aCallers.handleDatagram(aDatagram, now);
+    });
+    if (elapsed < duration) {
+      aCallers.generate(aOptions["rate"].as<unsigned>(),
+                        aOptions["streams"].as<unsigned>(),
+                        elapsed,
+                        duration,
+                        now);
+    }
+    aCallers.tick(now);
+    aPort.flush();
+    const bool isDone = elapsed >= duration && aCallers.pendingCount() == 0;
+    if (isDone || elapsed > duration + kPatience) {
+      break;
+    }
+  }
+  aCallers.giveUpPending();
+}
+
+} // namespace
+
+int
+runCallers(const cxxopts::ParseResult& aOptions)
+{
+  const auto listen = Core::parseEndpoint(aOptions["listen"].as<std::string>());
+  const auto fabric = Core::parseEndpoint(aOptions["fabric"].as<std::string>());
+  if (!listen.ok() || !fabric.ok()) {
+    std::cerr << "callers: bad endpoint\n";
+    return 2;
+  }
+  const auto file = aOptions["document"].as<std::string>();
+  std::stringstream text;
+  text << std::ifstream(file).rdbuf();
+  const auto document = Config::parseDocumentOrStatus(file, text.str());
+  if (!document.ok()) {
+    std::cerr << document.status().message() << "\n";
+    return 2;
+  }
+  auto socket = Transport::UdpSocket::bind(*listen);
+  if (!socket.ok()) {
+    std::cerr << socket.status().message() << "\n";
+    return 1;
+  }
+  GuePort port(*socket, *fabric);
+  Callers callers(*document, port, aOptions["seed"].as<unsigned>());
+  runLoop(callers, port, *socket, aOptions);
+  std::ofstream(aOptions["json"].as<std::string>())
+    << Json::writeString(Json::StreamWriterBuilder(), callers.result());
+  return 0;
+}
+
+} // namespace StandIns
--- /dev/null
+++ b/tests/standins/platformservice.cpp
@@ -0,0 +1,117 @@
+#include "commands.h"
+
+#include "core/endpoint.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace StandIns {
+
+namespace {
+
+constexpr std::size_t kServerThreads = 128;
+constexpr std::chrono::milliseconds kStopCheck{ 50 };
+
+struct Value
+{
+  std::uint64_t index = 0;
+  std::string text;
+};
+
+/** The values of the configuration service, and who waits for them. */
+class Values
+{
+public:
+  void put(const std::string& aKey, const std::string& aText)
+  {
+    const std::lock_guard lock(mMutex);
+    mValues[aKey] = { ++mIndex, aText };
+    mChanged.notify_all();
+  }
+
+  /** False when the index did not change in time. */
+  bool wait(const std::string& aKey,
+            std::uint64_t aIndex,
+            std::chrono::milliseconds aTime,
+            Value& aValue)
+  {
+    std::unique_lock lock(mMutex);
+    mChanged.wait_for(lock, aTime, [&] {
+      const auto it = mValues.find(aKey);
+      return it != mValues.end() && it->second.index != aIndex;
+    });
+    const auto it = mValues.find(aKey);
+    if (it == mValues.end() || it->second.index == aIndex) {
+      return false;
+    }
+    aValue = it->second;
+    return true;
+  }
+
+private:
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::map<std::string, Value> mValues;
+  std::uint64_t mIndex = 0;
+};
+
+} // namespace
+
+int
+runPlatformService(const cxxopts::ParseResult& aOptions)
+{
+  const auto listen = Core::parseEndpoint(aOptions["listen"].as<std::string>());
+  if (!listen.ok()) {
+    std::cerr << listen.status().message() << "\n";
+    return 2;
+  }
+  Values values;
+  std::atomic<std::uint64_t> calls = 0;
+  httplib::Server server;
+  server.new_task_queue = [] {
+    return new httplib::ThreadPool(kServerThreads);
+  };
+  server.Get(R"(/v1/(.*))", [&](const auto& aRequest, auto& aResponse) {
+    ++calls;
+    const auto number = [&aRequest](const char* aName) {
+      const auto text = aRequest.get_param_value(aName);
+      return text.empty() ? 0 : std::stoull(text);
+    };
+    Value value;
+    const bool hasChanged =
+      values.wait(aRequest.matches[1],
+                  number("index"),
+                  std::chrono::milliseconds(number("waitMilliseconds")),
+                  value);
+    if (!hasChanged) {
+      aResponse.status = 304;
+      return;
+    }
+    aResponse.set_header("X-Index", std::to_string(value.index));
+    aResponse.set_content(value.text, "application/json");
+  });
+  server.Put(R"(/admin/(.*))", [&](const auto& aRequest, auto&) {
+    values.put(aRequest.matches[1], aRequest.body);
+  });
+  server.Get("/calls", [&](const auto&, auto& aResponse) {
+    aResponse.set_content(std::to_string(calls.load()), "text/plain");
+  });
+  std::thread stopper([&server] {
+    while (!isStopRequested()) {
+      std::this_thread::sleep_for(kStopCheck);
+    }
+    server.stop();
+  });
+  const bool ok =
+    server.listen(Core::formatAddress(listen->address), listen->port);
+  stopper.join();
+  return ok || isStopRequested() ? 0 : 1;
+}
+
+} // namespace StandIns
--- /dev/null
+++ b/tests/standins/tcpconnection.cpp
@@ -0,0 +1,287 @@
+#include "tcpconnection.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace StandIns {
+
+namespace {
+
+constexpr std::size_t kSegmentBytes = 1200;
+constexpr std::uint32_t kWindowBytes = 24 * 1200;
+constexpr std::chrono::milliseconds kRetransmitTime{ 200 };
+constexpr int kMaximumRetries = 25;
+
+bool
+isBefore(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  return static_cast<std::int32_t>(aLeft - aRight) < 0;
+}
+
+} // namespace
+
+TcpConnection::TcpConnection(const Core::Endpoint& aSelf,
+                             const Core::Endpoint& aPeer,
+                             std::uint32_t aFirstSequence,
+                             Send aSend)
+  : mSelf(aSelf)
+  , mPeer(aPeer)
+  , mSend(std::move(aSend))
+  , mFirstSequence(aFirstSequence)
+  , mUnacknowledged(aFirstSequence)
+  , mNext(aFirstSequence + 1)
+{
+}
+
+void
+TcpConnection::sendSegment(std::uint8_t aFlags,
+                           std::uint32_t aSequence,
+                           const std::string& aData)
+{
+  Packet::PacketBuilder builder(Packet::Protocol::Tcp);
+  builder.from(mSelf).to(mPeer).flags(aFlags).sequence(aSequence);
+  if ((aFlags & Packet::kTcpAck) != 0) {
+    builder.acknowledgment(mExpected);
+  }
+  mSend(builder.payload(absl::string_view(aData)).build());
+}
+
+void
+TcpConnection::open(Core::TimePoint aNow)
+{
+  mState = TcpState::SynSent;
+  mLastSentAt = aNow;
+  sendSegment(Packet::kTcpSyn, mFirstSequence, "");
+}
+
+void
+TcpConnection::accept(const Packet::PacketView& aPacket, Core::TimePoint aNow)
+{
+  mState = TcpState::SynReceived;
+  mExpected = aPacket.sequence() + 1;
+  mLastSentAt = aNow;
+  sendSegment(Packet::kTcpSyn | Packet::kTcpAck, mFirstSequence, "");
+}
+
+void
+TcpConnection::sendAcknowledgment()
+{
+  sendSegment(Packet::kTcpAck, mNext, "");
+}
+
+void
+TcpConnection::handlePacket(const Packet::PacketView& aPacket,
+                            Core::TimePoint aNow)
+{
+  const bool isOver = mState == TcpState::Refused || mState == TcpState::Broken;
+  if (isOver) {
+    return;
+  }
+  if (aPacket.hasFlag(Packet::kTcpRst)) {
+    const bool isAnswer = aPacket.acknowledgment() == mFirstSequence + 1;
+    if (mState == TcpState::SynSent) {
+      mState = isAnswer ? TcpState::Refused : mState;
+    } else if (mState != TcpState::Finished && isInWindow(aPacket)) {
+      mState = TcpState::Broken;
+    }
+    return;
+  }
+  if (aPacket.hasFlag(Packet::kTcpSyn)) {
+    if (mState == TcpState::SynSent && aPacket.hasFlag(Packet::kTcpAck) &&
+        aPacket.acknowledgment() == mFirstSequence + 1) {
+      mState = TcpState::Established;
+      mExpected = aPacket.sequence() + 1;
+      mUnacknowledged = mFirstSequence + 1;
+      mRetries = 0;
+      sendAcknowledgment();
+      sendWindow(aNow);
+    } else if (mState == TcpState::SynReceived) {
+      sendSegment(Packet::kTcpSyn | Packet::kTcpAck, mFirstSequence, "");
+    } else if (mState == TcpState::Established) {
+      sendAcknowledgment();
+    }
+    return;
+  }
+  if (mState == TcpState::SynSent) {
+    return;
+  }
+  takeAcknowledgment(aPacket, aNow);
+  takeData(aPacket);
+  checkFinished();
+}
+
+bool
+TcpConnection::isInWindow(const Packet::PacketView& aPacket) const
+{
+  return !isBefore(aPacket.sequence(), mExpected) &&
+         isBefore(aPacket.sequence(), mExpected + kWindowBytes);
+}
+
+void
+TcpConnection::takeAcknowledgment(const Packet::PacketView& aPacket,
+                                  Core::TimePoint aNow)
+{
+  const auto acknowledged = aPacket.acknowledgment();
+  if (mState == TcpState::SynReceived && acknowledged == mFirstSequence + 1) {
+    mState = TcpState::Established;
+    mUnacknowledged = mFirstSequence + 1;
+    mRetries = 0;
+  }
+  const auto last = mNext + (mIsFinSent ? 1 : 0);
+  const bool isNew =
+    isBefore(mUnacknowledged, acknowledged) && !isBefore(last, acknowledged);
+  if (!isNew || mState == TcpState::SynReceived) {
+    return;
+  }
+  mRetries = 0;
+  mLastSentAt = aNow;
+  const auto n =
+    std::min<std::size_t>(acknowledged - mUnacknowledged, mOutgoing.size());
+  mOutgoing.erase(0, n);
+  mIsFinAcknowledged = mIsFinSent && acknowledged == mNext + 1;
+  mUnacknowledged = mIsFinAcknowledged ? mNext : acknowledged;
+  sendWindow(aNow);
+}
+
+void
+TcpConnection::takeData(const Packet::PacketView& aPacket)
+{
+  const auto payload = aPacket.payload();
+  const bool hasFin = aPacket.hasFlag(Packet::kTcpFin);
+  if (payload.empty() && !hasFin) {
+    return;
+  }
+  if (hasFin) {
+    mHasPeerFin = true;
+    mPeerFinSequence =
+      aPacket.sequence() + static_cast<std::uint32_t>(payload.size());
+  }
+  const std::string data(payload.begin(), payload.end());
+  const auto end = aPacket.sequence() + static_cast<std::uint32_t>(data.size());
+  if (!data.empty() && isBefore(mExpected, end)) {
+    const auto start = aPacket.sequence();
+    if (isBefore(start, mExpected)) {
+      mOutOfOrder[mExpected] = data.substr(mExpected - start);
+    } else {
+      mOutOfOrder[start] = data;
+    }
+  }
+  deliverInOrder();
+  if (mHasPeerFin && mExpected == mPeerFinSequence) {
+    mExpected += 1;
+    mIsPeerFinished = true;
+  }
+  sendAcknowledgment();
+}
+
+void
+TcpConnection::deliverInOrder()
+{
+  for (auto it = mOutOfOrder.begin(); it != mOutOfOrder.end();) {
+    const auto end = it->first + static_cast<std::uint32_t>(it->second.size());
+    if (!isBefore(mExpected, end)) {
+      it = mOutOfOrder.erase(it);
+    } else if (!isBefore(mExpected, it->first)) {
+      mReceived += it->second.substr(mExpected - it->first);
+      mExpected = end;
+      it = mOutOfOrder.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+TcpConnection::sendWindow(Core::TimePoint aNow)
+{
+  while (mState == TcpState::Established) {
+    const auto inFlight = mNext - mUnacknowledged;
+    if (inFlight >= mOutgoing.size() || inFlight >= kWindowBytes) {
+      break;
+    }
+    const auto data = mOutgoing.substr(inFlight, kSegmentBytes);
+    sendSegment(Packet::kTcpAck | Packet::kTcpPsh, mNext, data);
+    mNext += static_cast<std::uint32_t>(data.size());
+    mLastSentAt = aNow;
+  }
+  const bool isAllSent = mNext - mUnacknowledged == mOutgoing.size();
+  if (mState == TcpState::Established && mWantsFinish && isAllSent &&
+      !mIsFinSent) {
+    mIsFinSent = true;
+    mLastSentAt = aNow;
+    sendSegment(Packet::kTcpFin | Packet::kTcpAck, mNext, "");
+  }
+}
+
+void
+TcpConnection::write(const std::string& aData, Core::TimePoint aNow)
+{
+  mOutgoing += aData;
+  sendWindow(aNow);
+}
+
+void
+TcpConnection::finish(Core::TimePoint aNow)
+{
+  mWantsFinish = true;
+  sendWindow(aNow);
+}
+
+bool
+TcpConnection::hasUnacknowledged() const
+{
+  const bool isOpening =
+    mState == TcpState::SynSent || mState == TcpState::SynReceived;
+  return isOpening || mNext != mUnacknowledged ||
+         (mIsFinSent && !mIsFinAcknowledged);
+}
+
+void
+TcpConnection::tick(Core::TimePoint aNow)
+{
+  const bool isOver = mState == TcpState::Finished ||
+                      mState == TcpState::Refused || mState == TcpState::Broken;
+  const auto wait = kRetransmitTime * std::min(mRetries + 1, 5);
+  if (isOver || !hasUnacknowledged() || aNow - mLastSentAt < wait) {
+    return;
+  }
+  if (++mRetries > kMaximumRetries) {
+    mState = TcpState::Broken;
+    return;
+  }
+  retransmit(aNow);
+}
+
+void
+TcpConnection::retransmit(Core::TimePoint aNow)
+{
+  mLastSentAt = aNow;
+  if (mState == TcpState::SynSent) {
+    sendSegment(Packet::kTcpSyn, mFirstSequence, "");
+    return;
+  }
+  if (mState == TcpState::SynReceived) {
+    sendSegment(Packet::kTcpSyn | Packet::kTcpAck, mFirstSequence, "");
+    return;
+  }
+  const auto inFlight = mNext - mUnacknowledged;
+  if (inFlight > 0) {
+    const auto n = std::min<std::size_t>(inFlight, kSegmentBytes);
+    sendSegment(Packet::kTcpAck | Packet::kTcpPsh,
+                mUnacknowledged,
+                mOutgoing.substr(0, n));
+  } else if (mIsFinSent) {
+    sendSegment(Packet::kTcpFin | Packet::kTcpAck, mNext, "");
+  }
+}
+
+void
+TcpConnection::checkFinished()
+{
+  if (mState == TcpState::Established && mIsPeerFinished &&
+      mIsFinAcknowledged) {
+    mState = TcpState::Finished;
+  }
+}
+
+} // namespace StandIns
