Ownership: Prove claims by quorums, with scenarios and random schedules

Cause: random schedules over the real decisions found requests that ran twice or ran after 'not run': (1) a home refused a claimed flow without proof when it had no load reports yet; (2) an owner that restarted turned a flow away as if it had never run it; (3) a home with a dead owner chose another; (4) hash table order made equal seeds differ; (5) a claim recorded under the home's identity denied the home's own refusal; (6) an owner denied its own claimer's second choice. Change: 'not run' needs the consent of a quorum and stays said; an agent that does not remember the replay window answers 'unknown'; the owner of a claim changes only after it turned the flow away; assignments carry the claimer; ordered containers where order is seen. A target whose backend server is sick hands a repeated SYN on. 46 scenarios, the schedules with shrinking, and a model with one global view are part of the tests.

--- a/src/libs/ownership/agentengine.h
+++ b/src/libs/ownership/agentengine.h
@@ -249,7 +249,11 @@
   void handleAssigned(const Arrival& aArrival, Core::TimePoint aNow)
   {
     ++mAssignmentsSeen[aArrival.header.home];
-    if (mOwnerSide.admit(aArrival, aNow) != AdmitResult::Returned) {
+    const auto result = mOwnerSide.admit(aArrival, aNow);
+    if (result == AdmitResult::Unproven) {
+      mPlacement.answerUnknown(aArrival.packet);
+    }
+    if (result != AdmitResult::Returned) {
       return;
     }
     report(aNow);
--- a/src/libs/ownership/claimside.h
+++ b/src/libs/ownership/claimside.h
@@ -6,10 +6,9 @@
 #include "ownership/placement.h"
 #include "ownership/proposal.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <chrono>
 #include <functional>
+#include <map>
 #include <vector>
 
 namespace Ownership {
@@ -37,10 +36,14 @@
   {
   }
 
-  /** Called for a flow whose claim is proven. */
+  /** Called for a flow whose claim is proven; owner 0 means refusal. */
   void setComplete(Complete aComplete) { mComplete = std::move(aComplete); }
 
-  /** Starts to claim the flow for aOwner; completes at once where it can. */
+  /**
+   * Starts to claim the flow for aOwner; completes at once where it can.
+   * Without an owner the flow is refused once it is proven that it did not
+   * run and that it never will.
+   */
   void propose(const Arrival& aArrival,
                Config::Identity aOwner,
                Core::TimePoint aNow)
@@ -48,31 +51,25 @@
     if (mProposals.contains(aArrival.flow)) {
       return;
     }
-    const auto& claim = mContext.claims.record(
-      aArrival.flow, mContext.self.claimer, aOwner, aNow);
-    if (claim.claimer != mContext.self.claimer) {
-      forwardToOwner(aArrival, claim.owner, aNow);
+    auto proposal = makeProposal(aArrival, aOwner);
+    if (answersFromMemory(aArrival, proposal)) {
       return;
     }
-    Proposal proposal;
-    proposal.packet.assign(aArrival.packet.bytes().begin(),
-                           aArrival.packet.bytes().end());
-    proposal.header = aArrival.header;
-    proposal.owner = aOwner;
+    mContext.claims.record(aArrival.flow, mContext.self.claimer, aOwner, aNow);
     proposal.deadline = aNow + kClaimTimeout;
     proposal.quorums = quorumsOf(aArrival);
     if (mContext.isComplete(aNow)) {
       proposal.granted.insert(mContext.self.target);
     }
     if (isProvenByOwner(proposal)) {
-      mComplete(proposal.packet, proposal.header, aOwner);
+      finish(proposal, aArrival.flow, aNow);
       return;
     }
     ask(aArrival, proposal);
     const auto& kept =
       mProposals.emplace(aArrival.flow, std::move(proposal)).first->second;
     if (kept.isProven()) {
-      complete(aArrival.flow);
+      complete(aArrival.flow, aNow);
     }
   }
 
@@ -110,14 +107,14 @@
     if (aReply.verdict() == Messages::ClaimReply::GRANTED) {
       it->second.granted.insert(aReply.participant());
       if (it->second.isProven()) {
-        complete(flow);
+        complete(flow, aNow);
       }
       return;
     }
     if (aReply.verdict() == Messages::ClaimReply::DENIED) {
       const auto proposal = std::move(it->second);
       mProposals.erase(it);
-      mPlacement.noteOwner(flow, aReply.owner(), aNow);
+      mContext.claims.releaseOwner(flow, mContext.self.claimer);
       forwardProposal(proposal, aReply.owner());
     }
   }
@@ -129,6 +126,7 @@
     for (auto it = mProposals.begin(); it != mProposals.end();) {
       const auto current = it++;
       if (current->second.deadline <= aNow) {
+        mContext.claims.releaseOwner(current->first, mContext.self.claimer);
         expired.push_back(std::move(current->second));
         mProposals.erase(current);
       }
@@ -142,6 +140,38 @@
 private:
   static constexpr std::chrono::milliseconds kClaimTimeout{ 300 };
 
+  static Proposal makeProposal(const Arrival& aArrival, Config::Identity aOwner)
+  {
+    Proposal proposal;
+    const auto bytes = aArrival.packet.bytes();
+    proposal.packet.assign(bytes.begin(), bytes.end());
+    proposal.header = aArrival.header;
+    proposal.owner = aOwner;
+    return proposal;
+  }
+
+  /** True when what is remembered of the flow decides about it. */
+  bool answersFromMemory(const Arrival& aArrival, const Proposal& aProposal)
+  {
+    const auto* claim = mContext.claims.find(aArrival.flow);
+    if (claim == nullptr) {
+      return false;
+    }
+    if (claim->isRefused) {
+      mPlacement.refuse(aArrival);
+      return true;
+    }
+    const bool isForeign =
+      claim->claimer != 0 && claim->claimer != mContext.self.claimer;
+    const bool hasOtherOwner =
+      claim->owner != 0 && claim->owner != aProposal.owner;
+    if (isForeign || hasOtherOwner) {
+      forwardProposal(aProposal, claim->owner);
+      return true;
+    }
+    return false;
+  }
+
   std::vector<Quorum> quorumsOf(const Arrival& aArrival) const
   {
     std::vector<Quorum> quorums;
@@ -179,7 +209,9 @@
   bool isProvenByOwner(const Proposal& aProposal) const
   {
     auto granted = aProposal.granted;
-    if (aProposal.owner != mContext.self.target) {
+    const bool isElsewhere =
+      aProposal.owner != 0 && aProposal.owner != mContext.self.target;
+    if (isElsewhere) {
       granted.insert(aProposal.owner);
     }
     Proposal assumed;
@@ -214,24 +246,22 @@
                                      : Messages::ClaimReply::INCOMPLETE;
   }
 
-  void complete(const Packet::FlowKey& aFlow)
+  void complete(const Packet::FlowKey& aFlow, Core::TimePoint aNow)
   {
     const auto it = mProposals.find(aFlow);
     const auto proposal = std::move(it->second);
     mProposals.erase(it);
-    mComplete(proposal.packet, proposal.header, proposal.owner);
+    finish(proposal, aFlow, aNow);
   }
 
-  void forwardToOwner(const Arrival& aArrival,
-                      Config::Identity aOwner,
-                      Core::TimePoint aNow)
+  void finish(const Proposal& aProposal,
+              const Packet::FlowKey& aFlow,
+              Core::TimePoint aNow)
   {
-    mPlacement.noteOwner(aArrival.flow, aOwner, aNow);
-    Proposal proposal;
-    proposal.packet.assign(aArrival.packet.bytes().begin(),
-                           aArrival.packet.bytes().end());
-    proposal.header = aArrival.header;
-    forwardProposal(proposal, aOwner);
+    if (aProposal.owner == 0) {
+      mContext.claims.markRefused(aFlow, aNow);
+    }
+    mComplete(aProposal.packet, aProposal.header, aProposal.owner);
   }
 
   /**
@@ -242,7 +272,7 @@
   {
     const auto packet =
       Packet::PacketView::parse(aProposal.packet, Packet::Verify::Headers);
-    if (!packet.ok() || aOwner == mContext.self.target) {
+    if (!packet.ok()) {
       return;
     }
     auto header = aProposal.header;
@@ -257,20 +287,17 @@
   {
     const auto packet =
       Packet::PacketView::parse(aProposal.packet, Packet::Verify::Headers);
-    if (!packet.ok()) {
-      return;
+    if (packet.ok()) {
+      mPlacement.answerUnknown(*packet);
     }
-    mContext.counters.increment(AgentCounter::ClaimsUnproven);
-    mContext.events.write(Telemetry::Event::ClaimUnproven,
-                          Packet::formatFlowKey(packet->flowToService()));
-    mContext.port.sendToCaller(Packet::buildOutcomeUnknown(*packet));
   }
 
   AgentContext<Port>& mContext;
   OwnerSide<Port>& mOwnerSide;
   Placement<Port>& mPlacement;
   Complete mComplete;
-  absl::flat_hash_map<Packet::FlowKey, Proposal> mProposals;
+  /** Ordered, so that equal runs give up in equal order. */
+  std::map<Packet::FlowKey, Proposal> mProposals;
 };
 
 } // namespace Ownership
--- a/src/libs/ownership/claimtable.cpp
+++ b/src/libs/ownership/claimtable.cpp
@@ -24,6 +24,15 @@
   return claim;
 }
 
+void
+ClaimTable::releaseOwner(const Packet::FlowKey& aFlow, Claimer aClaimer)
+{
+  const auto it = mClaims.find(aFlow);
+  if (it != mClaims.end() && it->second.claimer == aClaimer) {
+    it->second.owner = 0;
+  }
+}
+
 void
 ClaimTable::reject(const Packet::FlowKey& aFlow, Core::TimePoint aNow)
 {
@@ -32,6 +41,14 @@
   claim.madeAt = aNow;
 }
 
+void
+ClaimTable::markRefused(const Packet::FlowKey& aFlow, Core::TimePoint aNow)
+{
+  auto& claim = mClaims[aFlow];
+  claim.isRefused = true;
+  claim.madeAt = aNow;
+}
+
 void
 ClaimTable::eraseMadeBefore(Core::TimePoint aTime)
 {
--- a/src/libs/ownership/claimtable.h
+++ b/src/libs/ownership/claimtable.h
@@ -20,6 +20,8 @@
   Config::Identity owner = 0;
   /** True when this agent turned the flow away and will never admit it. */
   bool isRejected = false;
+  /** True when the caller was told that the flow did not run. */
+  bool isRefused = false;
   Core::TimePoint madeAt;
 };
 
@@ -35,16 +37,23 @@
 
   /**
    * Remembers the claim unless another claimer's stands; returns what stands
-   * afterwards. The same claimer may change the owner.
+   * afterwards. The same claimer may change the owner, which it does only
+   * when the earlier owner is known to have run nothing.
    */
   const Claim& record(const Packet::FlowKey& aFlow,
                       Claimer aClaimer,
                       Config::Identity aOwner,
                       Core::TimePoint aNow);
 
+  /** The owner of the claim ran nothing; the claimer may name another. */
+  void releaseOwner(const Packet::FlowKey& aFlow, Claimer aClaimer);
+
   /** Remembers that this agent will never admit the flow. */
   void reject(const Packet::FlowKey& aFlow, Core::TimePoint aNow);
 
+  /** Remembers that the caller was told that the flow did not run. */
+  void markRefused(const Packet::FlowKey& aFlow, Core::TimePoint aNow);
+
   void eraseMadeBefore(Core::TimePoint aTime);
   std::size_t size() const { return mClaims.size(); }
 
--- a/src/libs/ownership/homeside.h
+++ b/src/libs/ownership/homeside.h
@@ -60,17 +60,24 @@
     }
     if (mPlacement.knownOwner(aArrival.flow, aNow) == returnedBy) {
       mPlacement.forgetOwner(aArrival.flow);
+      mContext.claims.releaseOwner(aArrival.flow, mContext.self.claimer);
     }
     chooseAndPlace(aArrival, aNow);
   }
 
-  /** Places a flow whose claim is proven. */
+  /** Places a flow whose claim is proven, or refuses it without an owner. */
   void handleProven(const Arrival& aArrival,
                     Config::Identity aOwner,
                     Core::TimePoint aNow)
   {
+    if (aOwner == 0) {
+      mPlacement.refuse(aArrival);
+      return;
+    }
     if (mPlacement.place(aArrival, aOwner, aNow) == PlaceResult::NoRoom) {
-      waitOrRefuse(aArrival, aNow);
+      // This agent is no candidate any more, so that this ends.
+      mContext.claims.releaseOwner(aArrival.flow, mContext.self.claimer);
+      chooseAndPlace(aArrival, aNow);
     }
   }
 
@@ -88,7 +95,7 @@
         continue;
       }
       if (isOverdue) {
-        mPlacement.refuse(*arrival);
+        refuse(*arrival, aNow);
         continue;
       }
       it.isPlaced = true;
@@ -139,6 +146,11 @@
       mPlacement.place(aArrival, owner, aNow);
       return;
     }
+    if (owner != 0 && aArrival.needsClaim()) {
+      // Whether its owner ran it before it died cannot be known.
+      mPlacement.answerUnknown(aArrival.packet);
+      return;
+    }
     if (mustSearchFirst(aArrival, aNow)) {
       mPlacement.search(aArrival, aNow);
       return;
@@ -157,8 +169,9 @@
     return aArrival.isUdp() && !aArrival.needsClaim() && mayBeForgotten;
   }
 
-  void chooseAndPlace(const Arrival& aArrival, Core::TimePoint aNow)
+  void chooseAndPlace(Arrival aArrival, Core::TimePoint aNow)
   {
+    aArrival.header.claimer = mContext.self.claimer;
     const auto owner = chooseOwner(aArrival, aNow);
     if (owner == 0) {
       waitOrRefuse(aArrival, aNow);
@@ -172,14 +185,25 @@
   void waitOrRefuse(const Arrival& aArrival, Core::TimePoint aNow)
   {
     const auto limit = aArrival.classView.serviceClass->waitLimit;
+    const auto before = mWaiting.size();
     const bool waits =
       limit.count() > 0 && mWaiting.insert(aArrival, limit, aNow);
-    if (waits) {
+    if (!waits) {
+      refuse(aArrival, aNow);
+    } else if (mWaiting.size() > before) {
       mContext.counters.increment(AgentCounter::FlowsWaited);
       mPlacement.acknowledge(aArrival);
-      return;
     }
-    mPlacement.refuse(aArrival);
+  }
+
+  /** "Not run" must be proven where a request may not run twice. */
+  void refuse(const Arrival& aArrival, Core::TimePoint aNow)
+  {
+    if (aArrival.needsClaim()) {
+      mClaimSide.propose(aArrival, 0, aNow);
+    } else {
+      mPlacement.refuse(aArrival);
+    }
   }
 
   Config::Identity chooseOwner(const Arrival& aArrival,
--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -29,8 +29,11 @@
   Admitted,
   /** No room; nothing was delivered and nothing will be. */
   Returned,
-  /** Another owner is on record; nothing was delivered. */
-  ClaimedElsewhere,
+  /**
+   * Another owner is on record, or this agent cannot tell whether it ran the
+   * flow before it started; the outcome is unknown.
+   */
+  Unproven,
 };
 
 /**
@@ -89,9 +92,9 @@
   {
     const auto member = mUsage.memberIndex(aArrival.flow.caller.address);
     const auto occupies = aArrival.classView.serviceClass->occupies;
-    const bool isIncomplete =
-      aArrival.needsClaim() && !mContext.isComplete(aNow);
-    return takesNewFlows(aNow) && !isIncomplete &&
+    const bool mayClaim =
+      !aArrival.needsClaim() || mayAdmitClaimed(aArrival, aNow);
+    return takesNewFlows(aNow) && mayClaim &&
            mUsage.check(occupies, member, aNow) == Admission::Admitted;
   }
 
@@ -107,6 +110,12 @@
       forget(aArrival.flow);
       return Delivery::NotOwned;
     }
+    if (isUnanswered(aArrival.packet, *entry) && !isBackendHealthy(aNow)) {
+      // Nothing but the opening packet was delivered; another may have it.
+      end(*entry, aNow);
+      forget(aArrival.flow);
+      return Delivery::NotOwned;
+    }
     if (!isPartOfHandshake(aArrival.packet, *entry)) {
       return Delivery::NotOwned;
     }
@@ -125,7 +134,7 @@
   AdmitResult admit(const Arrival& aArrival, Core::TimePoint aNow)
   {
     if (aArrival.needsClaim() && !mayAdmitClaimed(aArrival, aNow)) {
-      return AdmitResult::ClaimedElsewhere;
+      return AdmitResult::Unproven;
     }
     if (!hasRoom(aArrival, aNow)) {
       if (aArrival.needsClaim()) {
@@ -236,6 +245,14 @@
                      : std::chrono::nanoseconds(kLinger);
   }
 
+  /** An opening packet again that the backend server never answered. */
+  static bool isUnanswered(const Packet::PacketView& aPacket,
+                           const OwnedFlow& aEntry)
+  {
+    return aPacket.isOpening() && aEntry.state == FlowState::HalfOpen &&
+           !aEntry.isBackendSequenceKnown;
+  }
+
   static bool isPartOfHandshake(const Packet::PacketView& aPacket,
                                 const OwnedFlow& aEntry)
   {
@@ -250,22 +267,18 @@
            aPacket.acknowledgment() == aEntry.backendSequence + 1;
   }
 
-  bool mayAdmitClaimed(const Arrival& aArrival, Core::TimePoint aNow)
+  bool mayAdmitClaimed(const Arrival& aArrival, Core::TimePoint aNow) const
   {
-    const auto* claim = mContext.claims.find(aArrival.flow);
-    if (claim != nullptr && claim->isRejected) {
+    if (!mContext.isComplete(aNow)) {
       return false;
     }
-    const bool isElsewhere = claim != nullptr && claim->claimer != 0 &&
-                             claim->owner != mContext.self.target;
-    if (isElsewhere) {
+    const auto* claim = mContext.claims.find(aArrival.flow);
+    if (claim != nullptr && claim->isRejected) {
       return false;
     }
-    if (claim == nullptr) {
-      mContext.claims.record(
-        aArrival.flow, aArrival.header.home, mContext.self.target, aNow);
-    }
-    return true;
+    const bool isFree = claim == nullptr || claim->claimer == 0;
+    return isFree || claim->owner == mContext.self.target ||
+           claim->claimer == aArrival.header.claimer;
   }
 
   void open(const Arrival& aArrival, Core::TimePoint aNow)
@@ -284,7 +297,9 @@
     if (aArrival.needsClaim()) {
       mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload());
     }
-    if (!aArrival.isUdp() && !mUnansweredSince) {
+    const bool isFirst =
+      !mUnansweredSince || aNow - *mUnansweredSince > kBackendRetry;
+    if (!aArrival.isUdp() && isFirst) {
       mUnansweredSince = aNow;
     }
     deliver(aArrival);
--- a/src/libs/ownership/placement.h
+++ b/src/libs/ownership/placement.h
@@ -56,6 +56,7 @@
   {
     mDirectory.insert(aArrival.flow, aOwner, aNow);
     aArrival.header.purpose = Packet::ForwardPurpose::Assign;
+    aArrival.header.claimer = mContext.self.claimer;
     aArrival.header.home = mContext.self.target;
     if (aOwner != mContext.self.target) {
       mContext.board.noteAssigned(aOwner, aNow);
@@ -68,6 +69,9 @@
       mDirectory.erase(aArrival.flow);
       return PlaceResult::NoRoom;
     }
+    if (result == AdmitResult::Unproven) {
+      answerUnknown(aArrival.packet);
+    }
     return PlaceResult::Placed;
   }
 
@@ -118,6 +122,15 @@
     acknowledge(aArrival);
   }
 
+  /** Answers at once that it is not known whether the flow ran. */
+  void answerUnknown(const Packet::PacketView& aPacket)
+  {
+    mContext.counters.increment(AgentCounter::ClaimsUnproven);
+    mContext.events.write(Telemetry::Event::ClaimUnproven,
+                          Packet::formatFlowKey(aPacket.flowToService()));
+    mContext.port.sendToCaller(Packet::buildOutcomeUnknown(aPacket));
+  }
+
   /** Tells the balancer that the home has the flow and no owner yet. */
   void acknowledge(const Arrival& aArrival)
   {
--- a/src/libs/ownership/proposal.cpp
+++ b/src/libs/ownership/proposal.cpp
@@ -26,10 +26,10 @@
     });
 }
 
-absl::flat_hash_set<Config::Identity>
+std::set<Config::Identity>
 Proposal::participants() const
 {
-  absl::flat_hash_set<Config::Identity> all;
+  std::set<Config::Identity> all;
   for (const auto& it : quorums) {
     all.insert(it.home);
     all.insert(it.peers.begin(), it.peers.end());
--- a/src/libs/ownership/proposal.h
+++ b/src/libs/ownership/proposal.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <set>
 #include <vector>
 
 namespace Ownership {
@@ -34,8 +35,8 @@
   Core::TimePoint deadline;
 
   bool isProven() const;
-  /** Every agent that is to be asked. */
-  absl::flat_hash_set<Config::Identity> participants() const;
+  /** Every agent that is to be asked, in a fixed order. */
+  std::set<Config::Identity> participants() const;
 };
 
 } // namespace Ownership
--- a/src/libs/ownership/waitingflows.cpp
+++ b/src/libs/ownership/waitingflows.cpp
@@ -16,6 +16,10 @@
   if (it != mFlows.end()) {
     it->isPlaced = false;
     it->retryAt = aNow + kRetryInterval;
+    if (aArrival.needsClaim()) {
+      // An agent that turned a claimed flow away will never admit it.
+      it->header.route = aArrival.header.route;
+    }
     return true;
   }
   if (mFlows.size() >= kMostWaiting) {
@@ -25,7 +29,9 @@
   WaitingFlow flow;
   flow.packet.assign(bytes.begin(), bytes.end());
   flow.header = aArrival.header;
-  flow.header.route.clear();
+  if (!aArrival.needsClaim()) {
+    flow.header.route.clear();
+  }
   flow.flow = aArrival.flow;
   flow.deadline = aNow + aLimit;
   flow.retryAt = aNow + kRetryInterval;
--- a/src/libs/packet/forwardheader.cpp
+++ b/src/libs/packet/forwardheader.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::uint8_t kFormat = 1;
-constexpr std::size_t kFixedBytes = 36;
+constexpr std::size_t kFixedBytes = 44;
 constexpr std::size_t kRouteEntryBytes = 6;
 constexpr std::size_t kWordBytes = 4;
 
@@ -62,6 +62,7 @@
   header.service = load64(&aPrivateData[12]);
   header.home = load64(&aPrivateData[20]);
   header.origin = loadEndpoint(&aPrivateData[28]);
+  header.claimer = load64(&aPrivateData[36]);
   for (std::size_t i = 0; i < n; ++i) {
     header.route.push_back(
       loadEndpoint(&aPrivateData[kFixedBytes + i * kRouteEntryBytes]));
@@ -81,6 +82,7 @@
   store64(&data[12], service);
   store64(&data[20], home);
   storeEndpoint(&data[28], origin);
+  store64(&data[36], claimer);
   data[34] = static_cast<std::uint8_t>(route.size());
   data[35] = wantsNotice ? 1 : 0;
   for (std::size_t i = 0; i < route.size(); ++i) {
--- a/src/libs/packet/forwardheader.h
+++ b/src/libs/packet/forwardheader.h
@@ -32,7 +32,7 @@
 struct ForwardHeader
 {
   /** Agents that a search may still visit after the receiver. */
-  static constexpr std::size_t kMaximumRoute = 14;
+  static constexpr std::size_t kMaximumRoute = 13;
   /** Longest encoded form. */
   static constexpr std::size_t kMaximumBytes = 124;
 
@@ -49,6 +49,8 @@
   std::uint64_t service = 0;
   /** Identity of the home that assigned or searches; 0 before that. */
   std::uint64_t home = 0;
+  /** The claimer on whose behalf a flow is assigned; 0 for none. */
+  std::uint64_t claimer = 0;
   /** Data endpoint of the balancer that is told the owner. */
   Core::Endpoint origin;
   absl::InlinedVector<Core::Endpoint, kMaximumRoute> route;
--- a/tests/auto/packet/tst_packet.cpp
+++ b/tests/auto/packet/tst_packet.cpp
@@ -198,6 +198,7 @@
   header.revision = 99;
   header.service = 0x1122334455667788;
   header.home = 42;
+  header.claimer = 43;
   header.origin = { 0x7f000001, 7000 };
   for (std::uint16_t i = 0; i < ForwardHeader::kMaximumRoute; ++i) {
     header.route.push_back({ 0x7f000002U + i, 7000 });
@@ -214,6 +215,7 @@
   CHECK(parsed->revision == 99);
   CHECK(parsed->service == header.service);
   CHECK(parsed->home == 42);
+  CHECK(parsed->claimer == 43);
   CHECK(parsed->origin == header.origin);
   CHECK(parsed->route == header.route);
 }
--- /dev/null
+++ b/tests/scenarios/scenario.cpp
@@ -0,0 +1,52 @@
+#include "scenario.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+namespace Scenarios {
+
+std::string
+Step::toText() const
+{
+  return absl::StrJoin(words, " ");
+}
+
+std::string
+Scenario::toText() const
+{
+  auto text = absl::StrCat("promise ", promise, "\n");
+  for (const auto& it : steps) {
+    absl::StrAppend(&text, it.toText(), "\n");
+  }
+  return text;
+}
+
+absl::StatusOr<Scenario>
+parseScenario(const std::string& aFile, const std::string& aText)
+{
+  Scenario scenario;
+  scenario.file = aFile;
+  int number = 0;
+  for (const auto line : absl::StrSplit(aText, '\n')) {
+    ++number;
+    const std::string code(line.substr(0, line.find('#')));
+    Step step{ number, absl::StrSplit(code, ' ', absl::SkipWhitespace()) };
+    if (step.words.empty()) {
+      continue;
+    }
+    if (step.words.front() == "promise") {
+      step.words.erase(step.words.begin());
+      scenario.promise = step.toText();
+      continue;
+    }
+    scenario.steps.push_back(std::move(step));
+  }
+  if (scenario.promise.empty()) {
+    return absl::InvalidArgumentError(
+      absl::StrCat(aFile, ": no promise is named"));
+  }
+  return scenario;
+}
+
+} // namespace Scenarios
--- /dev/null
+++ b/tests/scenarios/schedules.cpp
@@ -0,0 +1,54 @@
+#include "randomschedule.h"
+#include "scenariorunner.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+namespace {
+
+int
+runSchedules(int aCount, char** aArguments)
+{
+  cxxopts::Options options("schedules", "Runs random schedules.");
+  auto add = options.add_options();
+  add("kind",
+      "faults or model",
+      cxxopts::value<std::string>()->default_value("faults"));
+  add("count", "how many", cxxopts::value<unsigned>()->default_value("100"));
+  add("first", "first seed", cxxopts::value<unsigned>()->default_value("1"));
+  const auto result = options.parse(aCount, aArguments);
+  const bool isModel = result["kind"].as<std::string>() == "model";
+  const auto first = result["first"].as<unsigned>();
+  const auto count = result["count"].as<unsigned>();
+  unsigned failed = 0;
+  for (auto seed = first; seed < first + count; ++seed) {
+    const auto scenario = isModel ? Scenarios::makeModelSchedule(seed)
+                                  : Scenarios::makeFaultSchedule(seed);
+    const auto status = Scenarios::runScenario(scenario);
+    if (status.ok()) {
+      continue;
+    }
+    if (++failed == 1) {
+      std::cout << status.message() << "\nThe fewest steps that fail:\n"
+                << Scenarios::shrink(scenario).toText();
+    } else {
+      std::cout << status.message() << "\n";
+    }
+  }
+  std::cout << count - failed << " passed, " << failed << " failed\n";
+  return failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  try {
+    return runSchedules(aCount, aArguments);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+}
--- /dev/null
+++ b/tests/world/fakebackend.cpp
@@ -0,0 +1,132 @@
+#include "world/fakebackend.h"
+
+#include "config/document.h"
+
+#include <algorithm>
+
+namespace World {
+
+namespace {
+
+constexpr std::uint32_t kSequenceStep = 100'003;
+
+std::string
+textOf(absl::Span<const std::uint8_t> aData)
+{
+  return { aData.begin(), aData.end() };
+}
+
+} // namespace
+
+FakeBackend::FakeBackend(std::string aTarget, std::vector<Run>& aRuns)
+  : mTarget(std::move(aTarget))
+  , mRuns(aRuns)
+  , mNextSequence(static_cast<std::uint32_t>(Config::identityOf(mTarget)))
+{
+}
+
+void
+FakeBackend::handlePacket(absl::Span<const std::uint8_t> aData,
+                          Core::TimePoint aNow)
+{
+  const auto packet =
+    Packet::PacketView::parse(aData, Packet::Verify::HeadersAndPayload);
+  if (!packet.ok() || mIsDeaf) {
+    return;
+  }
+  if (packet->protocol() == Packet::Protocol::Tcp) {
+    handleTcp(*packet, aNow);
+    return;
+  }
+  const auto text = textOf(packet->payload());
+  const auto flow = packet->flowToService();
+  mRuns.push_back({ mTarget, text, flow, aNow });
+  answer(flow, text, aNow + mWork);
+}
+
+void
+FakeBackend::handleTcp(const Packet::PacketView& aPacket, Core::TimePoint aNow)
+{
+  const auto flow = aPacket.flowToService();
+  if (aPacket.isOpening()) {
+    auto [it, isNew] = mConnections.try_emplace(flow);
+    if (isNew) {
+      mNextSequence += kSequenceStep;
+      it->second = { mNextSequence, aPacket.sequence() + 1 };
+    }
+    answerTcp(flow, Packet::kTcpSyn | Packet::kTcpAck, "", aNow);
+    return;
+  }
+  const auto it = mConnections.find(flow);
+  if (it == mConnections.end()) {
+    if (!aPacket.hasFlag(Packet::kTcpRst)) {
+      mAnswers.push_back({ aNow, Packet::buildRefusal(aPacket) });
+    }
+    return;
+  }
+  const bool isNewData =
+    !aPacket.payload().empty() && aPacket.sequence() == it->second.expected;
+  if (isNewData) {
+    const auto text = textOf(aPacket.payload());
+    it->second.expected += static_cast<std::uint32_t>(text.size());
+    mRuns.push_back({ mTarget, text, flow, aNow });
+    answerTcp(flow, Packet::kTcpAck, text, aNow + mWork);
+  }
+  if (aPacket.hasFlag(Packet::kTcpFin)) {
+    answerTcp(flow, Packet::kTcpFin | Packet::kTcpAck, "", aNow);
+    mConnections.erase(it);
+  }
+}
+
+void
+FakeBackend::answer(const Packet::FlowKey& aFlow,
+                    const std::string& aText,
+                    Core::TimePoint aAt)
+{
+  Packet::PacketBuilder builder(Packet::Protocol::Udp);
+  builder.from(aFlow.service).to(aFlow.caller);
+  mAnswers.push_back(
+    { aAt, builder.payload(absl::string_view(aText)).build() });
+}
+
+void
+FakeBackend::answerTcp(const Packet::FlowKey& aFlow,
+                       std::uint8_t aFlags,
+                       const std::string& aText,
+                       Core::TimePoint aAt)
+{
+  const auto& connection = mConnections[aFlow];
+  Packet::PacketBuilder builder(Packet::Protocol::Tcp);
+  builder.from(aFlow.service).to(aFlow.caller).flags(aFlags);
+  const bool isSyn = (aFlags & Packet::kTcpSyn) != 0;
+  builder.sequence(connection.sequence + (isSyn ? 0 : 1))
+    .acknowledgment(connection.expected);
+  mAnswers.push_back(
+    { aAt, builder.payload(absl::string_view(aText)).build() });
+}
+
+std::vector<Packet::Bytes>
+FakeBackend::takeDue(Core::TimePoint aNow)
+{
+  std::vector<Packet::Bytes> due;
+  std::erase_if(mAnswers, [&](Answer& aAnswer) {
+    if (aAnswer.at > aNow) {
+      return false;
+    }
+    due.push_back(std::move(aAnswer.packet));
+    return true;
+  });
+  return due;
+}
+
+std::vector<Packet::FlowKey>
+FakeBackend::heldFlows() const
+{
+  std::vector<Packet::FlowKey> flows;
+  for (const auto& it : mConnections) {
+    flows.push_back(it.first);
+  }
+  return flows;
+}
+
+} // namespace World
