--- a/src/libs/telemetry/eventcatalogue.cpp
+++ b/src/libs/telemetry/eventcatalogue.cpp
@@ -17,9 +17,6 @@
   EventDescription{ Event::ProcessStopped,
                     Severity::Information,
                     "process-stopped" },
-  EventDescription{ Event::SettingsRefused,
-                    Severity::Error,
-                    "settings-refused" },
   EventDescription{ Event::StartFailed, Severity::Error, "start-failed" },
   EventDescription{ Event::ViewInForce,
                     Severity::Information,
@@ -44,7 +41,6 @@
   EventDescription{ Event::FlowNotFound, Severity::Warning, "flow-not-found" },
   EventDescription{ Event::FlowRefused, Severity::Warning, "flow-refused" },
   EventDescription{ Event::ClaimUnproven, Severity::Warning, "claim-unproven" },
-  EventDescription{ Event::SocketFailed, Severity::Error, "socket-failed" },
   EventDescription{ Event::DrainStarted,
                     Severity::Information,
                     "drain-started" },
@@ -60,6 +56,12 @@
 
 } // namespace
 
+absl::Span<const EventDescription>
+eventCatalogue()
+{
+  return kEvents;
+}
+
 const EventDescription&
 describe(Event aEvent)
 {
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <absl/strings/string_view.h>
+#include <absl/types/span.h>
 
 namespace Telemetry {
 
@@ -10,7 +11,6 @@
   ProcessStarted = 100,
   ProcessStopping = 101,
   ProcessStopped = 102,
-  SettingsRefused = 103,
   StartFailed = 104,
   ViewInForce = 200,
   ViewRefused = 201,
@@ -23,7 +23,6 @@
   FlowNotFound = 302,
   FlowRefused = 303,
   ClaimUnproven = 304,
-  SocketFailed = 305,
   DrainStarted = 400,
   DrainFinished = 401,
   DrainDeadline = 402,
@@ -47,6 +46,10 @@
   absl::string_view name;
 };
 
+/** Every event, by number. */
+absl::Span<const EventDescription>
+eventCatalogue();
+
 const EventDescription&
 describe(Event aEvent);
 
--- /dev/null
+++ b/tests/auto/balancing/tst_balancing.cpp
@@ -0,0 +1,62 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "balancing/homewatch.h"
+#include "balancing/ownercache.h"
+
+using namespace Balancing;
+
+namespace {
+
+constexpr Core::TimePoint kStart{ std::chrono::hours(1) };
+
+Core::TimePoint
+after(std::chrono::milliseconds aTime)
+{
+  return kStart + aTime;
+}
+
+} // namespace
+
+TEST_CASE("the owner cache keeps its bound under a flood of flows")
+{
+  OwnerCache cache(1'000, std::chrono::hours(1));
+  for (std::uint64_t flow = 1; flow <= 100'000; ++flow) {
+    cache.insert(flow, 1, kStart);
+    CHECK(cache.size() <= 1'001);
+  }
+}
+
+TEST_CASE("a flow that is used outlives two generations, an idle one does not")
+{
+  OwnerCache cache(1'000, std::chrono::seconds(60));
+  cache.insert(1, 11, kStart);
+  cache.insert(2, 22, kStart);
+  for (int minute = 1; minute <= 5; ++minute) {
+    const auto now = kStart + std::chrono::minutes(minute);
+    cache.insert(100 + minute, 1, now);
+    CHECK(cache.find(1, now) == 11);
+  }
+  CHECK(cache.find(2, kStart + std::chrono::minutes(5)) == 0);
+}
+
+TEST_CASE("a home that owes an answer is skipped for a while")
+{
+  using std::chrono::milliseconds;
+  HomeWatch watch;
+  watch.noteAsked(7, kStart);
+  CHECK_FALSE(watch.isSuspected(7, after(milliseconds(399))));
+  CHECK(watch.isSuspected(7, after(milliseconds(400))));
+  CHECK(watch.isSuspected(7, after(milliseconds(2'300))));
+  CHECK_FALSE(watch.isSuspected(7, after(milliseconds(2'401))));
+  CHECK_FALSE(watch.isSuspected(8, after(milliseconds(400))));
+}
+
+TEST_CASE("an answer clears a home")
+{
+  using std::chrono::milliseconds;
+  HomeWatch watch;
+  watch.noteAsked(7, kStart);
+  watch.noteAnswered(7);
+  CHECK_FALSE(watch.isSuspected(7, after(milliseconds(5'000))));
+}
--- a/tests/bench/datapathbench.cpp
+++ b/tests/bench/datapathbench.cpp
@@ -143,6 +143,10 @@
                       false,
                       small,
                       "at 1,300 targets" });
+  records.push_back({ "growth of that choice from 1,300 to 13,000 targets",
+                      large / small,
+                      "",
+                      1 });
   std::mt19937_64 random(5);
   const auto before = heapBytes();
   Balancing::OwnerCache cache(2 * kFlows, std::chrono::hours(1));
