--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -287,6 +287,31 @@
     return drained
 
 
+def run_faults(fleet, processes, say):
+    """Faults that break no flow: freezes, an agent's crash, an outage."""
+    names = list(fleet.targets)
+    frozen, crashed = names[1], names[2]
+    processes.send(frozen, signal.SIGSTOP)
+    say(f"froze the agent of {frozen}")
+    time.sleep(3)
+    processes.send(frozen, signal.SIGCONT)
+    say(f"the agent of {frozen} goes on")
+    time.sleep(1)
+
+    processes.send(crashed, signal.SIGKILL)
+    time.sleep(0.3)
+    fleet.start_agent(crashed)
+    say(f"killed the agent of {crashed} and started a new one")
+    time.sleep(2)
+
+    processes.send("platform", signal.SIGSTOP)
+    say("froze the platform's services")
+    time.sleep(6)
+    processes.send("platform", signal.SIGCONT)
+    say("the platform's services go on")
+    time.sleep(2)
+
+
 def summarize(fleet, result, ratios):
     """Joins what callers saw with what the backend servers ran."""
     runs = {}
@@ -349,13 +374,18 @@
     parser.add_argument("user", nargs="?", default="stalbo",
                         choices=["stalbo", "chama"])
     parser.add_argument("--json", metavar="FILE")
-    parser.add_argument("--seconds", type=int, default=16)
+    parser.add_argument("--seconds", type=int,
+                        help="how long callers make requests")
+    parser.add_argument("--faults", action="store_true",
+                        help="freeze and crash agents and the platform too")
     parser.add_argument("--rate", type=int, default=30)
     parser.add_argument("--streams", type=int, default=100)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--logs", help="folder to keep the logs in")
     options = parser.parse_args()
 
+    options.seconds = options.seconds or (32 if options.faults else 16)
+
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(130))
     folder = pathlib.Path(tempfile.mkdtemp(prefix="lacewingspread-"))
     logs = pathlib.Path(options.logs) if options.logs else folder
@@ -400,6 +430,8 @@
         sampler.start()
         say(f"callers are at work for {options.seconds} s")
         drained = run_timeline(fleet, processes, say)
+        if options.faults:
+            run_faults(fleet, processes, say)
         processes.wait("callers", options.seconds + 60)
         sampler.is_ended.set()
         sampler.join()
--- a/src/lacewingctl/checkcommand.cpp
+++ b/src/lacewingctl/checkcommand.cpp
@@ -71,18 +71,12 @@
     std::cerr << "usage: lacewingctl digest FILE\n";
     return kUsage;
   }
-  const auto text = readTextFile(aLine.words[0]);
-  if (!text.ok()) {
-    std::cerr << text.status().message() << "\n";
-    return kUnreadable;
-  }
-  const auto document = Config::parseDocumentOrStatus(aLine.words[0], *text);
-  if (!document.ok()) {
-    std::cout << document.status().message() << "\n";
-    return kNegative;
+  const auto file = readDocumentFile(aLine.words[0]);
+  if (!file.ok()) {
+    return reportUnusable(file.status());
   }
-  std::cout << "revision " << document->revision << " digest "
-            << document->digest << "\n";
+  std::cout << "revision " << file->document.revision << " digest "
+            << file->document.digest << "\n";
   return kSuccess;
 }
 
@@ -93,22 +87,16 @@
     std::cerr << "usage: lacewingctl pack FILE OUTPUT\n";
     return kUsage;
   }
-  const auto text = readTextFile(aLine.words[0]);
-  if (!text.ok()) {
-    std::cerr << text.status().message() << "\n";
-    return kUnreadable;
-  }
-  const auto document = Config::parseDocumentOrStatus(aLine.words[0], *text);
-  if (!document.ok()) {
-    std::cout << document.status().message() << "\n";
-    return kNegative;
+  const auto file = readDocumentFile(aLine.words[0]);
+  if (!file.ok()) {
+    return reportUnusable(file.status());
   }
-  const auto packed = Compression::compressText(*text);
+  const auto packed = Compression::compressText(file->text);
   std::ofstream output(aLine.words[1], std::ios::binary);
   if (!packed.ok() || !(output << *packed)) {
     std::cerr << aLine.words[1] << ": cannot be written\n";
     return kUnreadable;
   }
-  std::cout << text->size() << " bytes, packed " << packed->size() << "\n";
+  std::cout << file->text.size() << " bytes, packed " << packed->size() << "\n";
   return kSuccess;
 }
--- a/src/lacewingctl/comparecommand.cpp
+++ b/src/lacewingctl/comparecommand.cpp
@@ -3,8 +3,6 @@
 #include "exitcode.h"
 #include "textfile.h"
 
-#include "config/documentparser.h"
-
 #include <absl/strings/str_cat.h>
 
 #include <iostream>
@@ -111,17 +109,11 @@
   }
   std::vector<Settings> settings;
   for (const auto& file : aLine.words) {
-    const auto text = readTextFile(file);
-    if (!text.ok()) {
-      std::cerr << text.status().message() << "\n";
-      return kUnreadable;
-    }
-    const auto document = Config::parseDocumentOrStatus(file, *text);
-    if (!document.ok()) {
-      std::cerr << document.status().message() << "\n";
-      return kUnreadable;
+    const auto read = readDocumentFile(file);
+    if (!read.ok()) {
+      return reportUnusable(read.status());
     }
-    settings.push_back(settingsOf(*document));
+    settings.push_back(settingsOf(read->document));
   }
   return printDifferences(settings[0], settings[1]);
 }
--- a/src/lacewingctl/explaincommand.cpp
+++ b/src/lacewingctl/explaincommand.cpp
@@ -3,7 +3,6 @@
 #include "exitcode.h"
 #include "textfile.h"
 
-#include "config/documentparser.h"
 #include "routing/fleetview.h"
 #include "routing/flowhasher.h"
 
@@ -114,18 +113,12 @@
       return kUsage;
     }
   }
-  const auto text = readTextFile(aLine.words[0]);
-  if (!text.ok()) {
-    std::cerr << text.status().message() << "\n";
-    return kUnreadable;
-  }
-  auto document = Config::parseDocumentOrStatus(aLine.words[0], *text);
-  if (!document.ok()) {
-    std::cerr << document.status().message() << "\n";
-    return kUnreadable;
+  auto file = readDocumentFile(aLine.words[0]);
+  if (!file.ok()) {
+    return reportUnusable(file.status());
   }
   const Routing::FleetView view(
-    std::make_shared<const Config::Document>(std::move(*document)), {});
+    std::make_shared<const Config::Document>(std::move(file->document)), {});
   const auto page = explain(view, *flow, *key);
   if (options.count("json") > 0) {
     std::cout << page.toStyledString();
--- a/src/lacewingctl/textfile.cpp
+++ b/src/lacewingctl/textfile.cpp
@@ -1,10 +1,14 @@
 #include "textfile.h"
 
+#include "exitcode.h"
+
 #include "compression/textcodec.h"
+#include "config/documentparser.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 absl::StatusOr<std::string>
@@ -23,3 +27,28 @@
   }
   return plain;
 }
+
+absl::StatusOr<DocumentFile>
+readDocumentFile(const std::string& aPath)
+{
+  auto text = readTextFile(aPath);
+  if (!text.ok()) {
+    return text.status();
+  }
+  auto document = Config::parseDocumentOrStatus(aPath, *text);
+  if (!document.ok()) {
+    return document.status();
+  }
+  return DocumentFile{ std::move(*text), std::move(*document) };
+}
+
+int
+reportUnusable(const absl::Status& aStatus)
+{
+  if (absl::IsInvalidArgument(aStatus)) {
+    std::cout << aStatus.message() << "\n";
+    return kNegative;
+  }
+  std::cerr << aStatus.message() << "\n";
+  return kUnreadable;
+}
--- a/src/libs/ownership/agentengine.h
+++ b/src/libs/ownership/agentengine.h
@@ -1,13 +1,12 @@
 #pragma once
 
 #include "ownership/agentcontext.h"
-#include "ownership/bytebudget.h"
 #include "ownership/claimside.h"
 #include "ownership/homeside.h"
+#include "ownership/loadreporter.h"
 #include "ownership/ownerside.h"
 #include "ownership/placement.h"
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -36,6 +35,7 @@
     , mPlacement(mContext, mOwnerSide)
     , mClaimSide(mContext, mOwnerSide, mPlacement)
     , mHomeSide(mContext, mOwnerSide, mPlacement, mClaimSide)
+    , mReporter(mContext)
     , mTickedAt(aSelf.startedAt)
   {
     mClaimSide.setComplete([this](const Packet::Bytes& aPacket,
@@ -60,7 +60,7 @@
     if (status.ok()) {
       confirmView(aNow);
       mOwnerSide.adoptView();
-      findWatchers();
+      mReporter.findWatchers();
     }
     return status;
   }
@@ -87,7 +87,7 @@
   {
     mContext.isLeaving = true;
     if (view() != nullptr) {
-      report(aNow);
+      mReporter.report(mOwnerSide, aNow);
     }
   }
 
@@ -152,14 +152,10 @@
       expire(aNow);
     }
     retryWaiting(aNow);
-    reportIfDue(aNow);
+    mReporter.reportIfDue(mOwnerSide, aNow);
   }
 
 private:
-  static constexpr std::chrono::milliseconds kHeartbeatInterval{ 250 };
-  static constexpr std::chrono::milliseconds kReportSpacing{ 5 };
-  /** Part of a node's 11 KB/s of control traffic. */
-  static constexpr double kReportBytesPerSecond = 8'000;
   static constexpr std::chrono::milliseconds kExpiryInterval{ 250 };
   /** A gap between two ticks that is longer means that the process slept. */
   static constexpr std::chrono::milliseconds kSleepLimit{ 1'000 };
@@ -251,7 +247,7 @@
 
   void handleAssigned(const Arrival& aArrival, Core::TimePoint aNow)
   {
-    ++mAssignmentsSeen[aArrival.header.home];
+    mReporter.noteAssignment(aArrival.header.home);
     const auto result = mOwnerSide.admit(aArrival, aNow);
     if (result == AdmitResult::Unproven) {
       mPlacement.answerUnknown(aArrival.packet);
@@ -259,7 +255,7 @@
     if (result != AdmitResult::Returned) {
       return;
     }
-    report(aNow);
+    mReporter.report(mOwnerSide, aNow);
     auto header = aArrival.header;
     header.purpose = Packet::ForwardPurpose::Return;
     header.home = mContext.self.target;
@@ -352,86 +348,15 @@
                       });
   }
 
-  /** The homes that may choose this target, which get its load reports. */
-  void findWatchers()
-  {
-    mWatchers.clear();
-    const auto* service = view()->serviceOfTarget(mContext.self.target);
-    if (service == nullptr) {
-      return;
-    }
-    const auto self = *service->indexOf(mContext.self.target);
-    for (std::uint32_t home = 0; home < service->targets.size(); ++home) {
-      const auto peers = service->ring.peers(home);
-      if (std::find(peers.begin(), peers.end(), self) != peers.end()) {
-        mWatchers.push_back(service->targets[home].target->identity);
-      }
-    }
-  }
-
-  void reportIfDue(Core::TimePoint aNow)
-  {
-    const auto load = mOwnerSide.load(aNow);
-    const bool hasChanged = load.slotsInUse != mReported.slotsInUse ||
-                            load.slots != mReported.slots ||
-                            load.connectionsInUse != mReported.connectionsInUse;
-    const auto spacing = hasChanged ? kReportSpacing : kHeartbeatInterval;
-    // Homes may have flows waiting for the first free slot.
-    const bool isRoomAgain =
-      mReported.slotsInUse >= mReported.slots && load.slotsInUse < load.slots;
-    const auto elapsed = aNow - mReportedAt;
-    const bool isHeartbeat = elapsed >= kHeartbeatInterval;
-    const bool isDue = isRoomAgain || elapsed >= spacing;
-    if (isHeartbeat || (isDue && mReportBudget.has(reportBytes(), aNow))) {
-      report(aNow);
-    }
-  }
-
-  /** Bytes on the wire of one report to every watcher, about. */
-  double reportBytes() const
-  {
-    constexpr double kReportBytes = 80;
-    return kReportBytes * static_cast<double>(mWatchers.size());
-  }
-
-  void report(Core::TimePoint aNow)
-  {
-    mReportBudget.take(reportBytes(), aNow);
-    mReported = mOwnerSide.load(aNow);
-    mReportedAt = aNow;
-    Messages::PeerMessage message;
-    auto& report = *message.mutable_load_report();
-    report.set_target(mContext.self.target);
-    report.set_incarnation(mContext.self.incarnation);
-    report.set_revision(view()->revision());
-    report.set_slots_in_use(mReported.slotsInUse);
-    report.set_slots(mReported.slots);
-    report.set_connections_in_use(mReported.connectionsInUse);
-    report.set_connections(mReported.connections);
-    report.set_leaving(!mOwnerSide.takesNewFlows(aNow));
-    report.set_complete(mContext.isComplete(aNow));
-    report.set_sequence(++mReportSequence);
-    for (const auto watcher : mWatchers) {
-      report.set_assignments_seen(mAssignmentsSeen[watcher]);
-      mContext.sendMessage(mContext.endpointOf(watcher), message);
-      mContext.counters.increment(AgentCounter::LoadReportsSent);
-    }
-  }
-
   AgentContext<Port> mContext;
   OwnerSide<Port> mOwnerSide;
   Placement<Port> mPlacement;
   ClaimSide<Port> mClaimSide;
   HomeSide<Port> mHomeSide;
-  std::vector<Config::Identity> mWatchers;
-  absl::flat_hash_map<Config::Identity, std::uint64_t> mAssignmentsSeen;
-  Load mReported;
-  Core::TimePoint mReportedAt{};
+  LoadReporter<Port> mReporter;
   Core::TimePoint mExpiredAt{};
   Core::TimePoint mTickedAt;
   Core::TimePoint mNow{};
-  std::uint64_t mReportSequence = 0;
-  ByteBudget mReportBudget{ kReportBytesPerSecond };
 };
 
 } // namespace Ownership
--- /dev/null
+++ b/src/libs/ownership/backendhealth.cpp
@@ -0,0 +1,38 @@
+#include "ownership/backendhealth.h"
+
+#include <chrono>
+
+namespace Ownership {
+
+namespace {
+
+constexpr std::chrono::seconds kAnswerTimeout{ 1 };
+constexpr std::chrono::seconds kRetryInterval{ 2 };
+
+} // namespace
+
+void
+BackendHealth::noteOpening(Core::TimePoint aNow)
+{
+  if (!mUnansweredSince || aNow - *mUnansweredSince > kRetryInterval) {
+    mUnansweredSince = aNow;
+  }
+}
+
+void
+BackendHealth::noteAnswer()
+{
+  mUnansweredSince.reset();
+}
+
+bool
+BackendHealth::isHealthy(Core::TimePoint aNow) const
+{
+  if (!mUnansweredSince) {
+    return true;
+  }
+  const auto unanswered = aNow - *mUnansweredSince;
+  return unanswered < kAnswerTimeout || unanswered > kRetryInterval;
+}
+
+} // namespace Ownership
--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -1,16 +1,14 @@
 #pragma once
 
-#include "messages/flowid.h"
 #include "ownership/agentcontext.h"
+#include "ownership/backendhealth.h"
 #include "ownership/exchangetable.h"
 #include "ownership/flowtable.h"
+#include "ownership/ownernotices.h"
 #include "ownership/targetusage.h"
 #include "packet/packetbuilder.h"
 
-#include <absl/strings/str_cat.h>
-
 #include <chrono>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,7 +69,7 @@
   Load load(Core::TimePoint aNow) const
   {
     auto load = mUsage.load(aNow);
-    if (!isBackendHealthy(aNow)) {
+    if (!mHealth.isHealthy(aNow)) {
       load.slots = 0;
       load.connections = 0;
     }
@@ -84,7 +82,7 @@
     const auto* place =
       mContext.views.current()->findTarget(mContext.self.target);
     return mIsDeclared && !mContext.isLeaving && !place->leaving &&
-           isBackendHealthy(aNow);
+           mHealth.isHealthy(aNow);
   }
 
   /** True when the flow would be admitted. */
@@ -110,7 +108,7 @@
       forget(aArrival.flow);
       return Delivery::NotOwned;
     }
-    if (isUnanswered(aArrival.packet, *entry) && !isBackendHealthy(aNow)) {
+    if (isUnanswered(aArrival.packet, *entry) && !mHealth.isHealthy(aNow)) {
       // Nothing but the opening packet was delivered; another may have it.
       end(*entry, aNow);
       forget(aArrival.flow);
@@ -159,7 +157,7 @@
       mContext.counters.increment(AgentCounter::PacketsMalformed);
       return;
     }
-    mUnansweredSince.reset();
+    mHealth.noteAnswer();
     const auto flow = packet->flowToCaller();
     auto* entry = mFlows.find(flow);
     if (entry == nullptr) {
@@ -222,23 +220,8 @@
 private:
   /** A handshake that takes longer holds no room. */
   static constexpr std::chrono::seconds kHandshakeTimeout{ 3 };
-  /** With more balancers a flow seldom meets the same one again. */
-  static constexpr std::size_t kFewBalancers = 16;
   /** Ended flows still pass the last acknowledgments on. */
   static constexpr std::chrono::seconds kLinger{ 2 };
-  /** A backend server that leaves an opening packet unanswered is sick. */
-  static constexpr std::chrono::seconds kBackendTimeout{ 1 };
-  /** A sick backend server is tried again with one flow after this. */
-  static constexpr std::chrono::seconds kBackendRetry{ 2 };
-
-  bool isBackendHealthy(Core::TimePoint aNow) const
-  {
-    if (!mUnansweredSince) {
-      return true;
-    }
-    const auto unanswered = aNow - *mUnansweredSince;
-    return unanswered < kBackendTimeout || unanswered > kBackendRetry;
-  }
 
   std::chrono::nanoseconds memoryOf(const OwnedFlow& aEntry) const
   {
@@ -301,10 +284,8 @@
     if (aArrival.needsClaim()) {
       mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload());
     }
-    const bool isFirst =
-      !mUnansweredSince || aNow - *mUnansweredSince > kBackendRetry;
-    if (!aArrival.isUdp() && isFirst) {
-      mUnansweredSince = aNow;
+    if (!aArrival.isUdp()) {
+      mHealth.noteOpening(aNow);
     }
     deliver(aArrival, kept);
   }
@@ -313,40 +294,7 @@
   {
     mContext.port.deliver(aArrival.packet.bytes());
     mContext.counters.increment(AgentCounter::PacketsDelivered);
-    sendNotices(aArrival, aEntry);
-  }
-
-  /**
-   * The first notice of a flow also tells that its home is alive. More are
-   * worth their bytes only while packets come back to the same balancers.
-   */
-  bool isNoticeWanted(const Arrival& aArrival, const OwnedFlow& aEntry) const
-  {
-    const auto balancers = mContext.views.current()->balancerCount();
-    const bool isLearning =
-      balancers <= kFewBalancers && aEntry.notices < UINT16_MAX;
-    return aArrival.header.wantsNotice &&
-           (aArrival.mayOpen() || aEntry.notices == 0 || isLearning);
-  }
-
-  void sendNotices(const Arrival& aArrival, OwnedFlow& aEntry)
-  {
-    const auto& header = aArrival.header;
-    Messages::PeerMessage message;
-    auto& notice = *message.mutable_owner_notice();
-    Messages::writeFlow(aArrival.flow, *notice.mutable_flow());
-    notice.set_owner(mContext.self.target);
-    notice.set_home(header.home == 0 ? mContext.self.target : header.home);
-    notice.set_revision(mContext.views.current()->revision());
-    if (isNoticeWanted(aArrival, aEntry)) {
-      ++aEntry.notices;
-      mContext.sendMessage(header.origin, message);
-    }
-    const bool wasSearched =
-      header.purpose == Packet::ForwardPurpose::Search && header.home != 0;
-    if (wasSearched) {
-      mContext.sendMessage(mContext.endpointOf(header.home), message);
-    }
+    sendOwnerNotices(mContext, aArrival, aEntry);
   }
 
   Delivery deliverOnce(const Arrival& aArrival, OwnedFlow& aEntry)
@@ -356,7 +304,7 @@
       return Delivery::Delivered;
     }
     mContext.counters.increment(AgentCounter::DuplicatesSuppressed);
-    sendNotices(aArrival, aEntry);
+    sendOwnerNotices(mContext, aArrival, aEntry);
     const auto& answer = mExchanges.answer(aArrival.flow);
     if (!answer.empty()) {
       mContext.port.sendToCaller(answer);
@@ -473,8 +421,7 @@
   TargetUsage mUsage;
   std::string mServiceName;
   std::vector<Config::ServiceClass> mClasses;
-  /** When the oldest opening packet without any answer was delivered. */
-  std::optional<Core::TimePoint> mUnansweredSince;
+  BackendHealth mHealth;
   bool mIsDeclared = false;
 };
 
