Ownership: End a flow at the caller's reset

Cause: reading the TCP tracking showed that a caller's reset was noted but ended nothing; the backend server answers no reset, so that the slot was held until the idle timeout. Before: scenario aborted_flow_frees_its_slot found 1 slot in use. After: 0; 47 scenarios pass. Conclusion: a crowd of callers that give up frees its room at once.

--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -6,6 +6,7 @@
 #include "ownership/flowtable.h"
 #include "ownership/ownernotices.h"
 #include "ownership/targetusage.h"
+#include "ownership/tcptracking.h"
 #include "packet/packetbuilder.h"
 
 #include <chrono>
@@ -108,7 +109,8 @@
       forget(aArrival.flow);
       return Delivery::NotOwned;
     }
-    if (isUnanswered(aArrival.packet, *entry) && !mHealth.isHealthy(aNow)) {
+    if (isUnansweredOpening(aArrival.packet, *entry) &&
+        !mHealth.isHealthy(aNow)) {
       // Nothing but the opening packet was delivered; another may have it.
       end(*entry, aNow);
       forget(aArrival.flow);
@@ -124,8 +126,11 @@
     if (aArrival.isUdp() && !reopenUdp(aArrival, *entry, aNow)) {
       return Delivery::Delivered;
     }
-    noteCallerPacket(aArrival.packet, *entry);
+    trackCallerPacket(aArrival.packet, *entry);
     deliver(aArrival, *entry);
+    if (entry->isCallerDone && entry->isBackendDone) {
+      end(*entry, aNow);
+    }
     return Delivery::Delivered;
   }
 
@@ -232,28 +237,6 @@
                      : std::chrono::nanoseconds(kLinger);
   }
 
-  /** An opening packet again that the backend server never answered. */
-  static bool isUnanswered(const Packet::PacketView& aPacket,
-                           const OwnedFlow& aEntry)
-  {
-    return aPacket.isOpening() && aEntry.state == FlowState::HalfOpen &&
-           !aEntry.isBackendSequenceKnown;
-  }
-
-  static bool isPartOfHandshake(const Packet::PacketView& aPacket,
-                                const OwnedFlow& aEntry)
-  {
-    const bool isChecked = aEntry.state == FlowState::HalfOpen &&
-                           aPacket.protocol() == Packet::Protocol::Tcp &&
-                           !aPacket.isOpening() &&
-                           aPacket.hasFlag(Packet::kTcpAck);
-    if (!isChecked) {
-      return true;
-    }
-    return aEntry.isBackendSequenceKnown &&
-           aPacket.acknowledgment() == aEntry.backendSequence + 1;
-  }
-
   bool mayAdmitClaimed(const Arrival& aArrival, Core::TimePoint aNow) const
   {
     if (!mContext.isComplete(aNow)) {
@@ -334,23 +317,6 @@
     return true;
   }
 
-  void noteCallerPacket(const Packet::PacketView& aPacket, OwnedFlow& aEntry)
-  {
-    if (aPacket.protocol() != Packet::Protocol::Tcp) {
-      return;
-    }
-    if (aEntry.state == FlowState::HalfOpen && !aPacket.isOpening()) {
-      aEntry.state = FlowState::Open;
-    }
-    if (aPacket.hasFlag(Packet::kTcpFin)) {
-      aEntry.isCallerDone = true;
-    }
-    if (aPacket.hasFlag(Packet::kTcpRst)) {
-      aEntry.isCallerDone = true;
-      aEntry.isBackendDone = true;
-    }
-  }
-
   void noteBackendPacket(const Packet::PacketView& aPacket,
                          const Packet::FlowKey& aFlow,
                          OwnedFlow& aEntry,
@@ -360,16 +326,7 @@
       noteBackendAnswer(aPacket, aFlow, aEntry, aNow);
       return;
     }
-    if (aPacket.hasFlag(Packet::kTcpSyn)) {
-      aEntry.backendSequence = aPacket.sequence();
-      aEntry.isBackendSequenceKnown = true;
-    }
-    if (aPacket.hasFlag(Packet::kTcpFin)) {
-      aEntry.isBackendDone = true;
-    }
-    const bool isOver = aPacket.hasFlag(Packet::kTcpRst) ||
-                        (aEntry.isCallerDone && aEntry.isBackendDone);
-    if (isOver) {
+    if (trackBackendPacket(aPacket, aEntry)) {
       end(aEntry, aNow);
     }
   }
--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -171,6 +171,7 @@
       { "say", [&] { w.say(one, two, name(aWords, 3)); } },
       { "repeat", [&] { repeat(aWords); } },
       { "close", [&] { w.closeFlow(one); } },
+      { "abort", [&] { w.abortFlow(one); } },
       { "delay-next", [&] { w.delayNext(time(aWords, 1)); } },
       { "kill", [&] { w.kill(one); } },
       { "restart", [&] { w.restart(one); } },
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -509,12 +509,24 @@
 
 void
 World::closeFlow(const std::string& aName)
+{
+  sendEnd(aName, Packet::kTcpFin | Packet::kTcpAck);
+}
+
+void
+World::abortFlow(const std::string& aName)
+{
+  sendEnd(aName, Packet::kTcpRst | Packet::kTcpAck);
+}
+
+void
+World::sendEnd(const std::string& aName, std::uint8_t aFlags)
 {
   auto& flow = mFlows.at(aName);
   Packet::PacketBuilder builder(Packet::Protocol::Tcp);
   builder.from(flow.key.caller)
     .to(flow.key.service)
-    .flags(Packet::kTcpFin | Packet::kTcpAck)
+    .flags(aFlags)
     .sequence(flow.sequence + 1)
     .acknowledgment(flow.peerSequence + 1);
   sendFromCaller(flow, builder.build(), "");
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -73,6 +73,8 @@
   /** Sends the last packet of the flow again. */
   void repeat(const std::string& aName, const std::string& aBalancer = "");
   void closeFlow(const std::string& aName);
+  /** The caller resets the flow. */
+  void abortFlow(const std::string& aName);
   /** The next packet of a caller comes so much later. */
   void delayNext(Core::Duration aTime) { mNextDelay = aTime; }
 
@@ -134,6 +136,7 @@
   void deliver(const Parcel& aParcel);
   void takeFromBackend(const std::string& aTarget);
   void toCaller(absl::Span<const std::uint8_t> aPacket);
+  void sendEnd(const std::string& aName, std::uint8_t aFlags);
   void sendFromCaller(CallerFlow& aFlow,
                       const Packet::Bytes& aPacket,
                       const std::string& aBalancer);
