Config: Make places of faults only when there is a fault

Cause: reading a document of 13,000 targets took 210 to 265 ms, of which the JSON library took 100 to 129; each object built its place as text and kept its known keys in a tree. Change: a place is a chain that becomes text for a fault; known keys are a short list, and unknown ones are looked for only when the counts differ.

--- a/src/libs/config/documentparser.cpp
+++ b/src/libs/config/documentparser.cpp
@@ -23,12 +23,6 @@
 constexpr std::chrono::milliseconds kDefaultSlowStart{ 10'000 };
 constexpr std::chrono::milliseconds kDefaultIdleTimeout{ 60'000 };
 
-std::string
-indexed(const std::string& aPlace, Json::ArrayIndex aIndex)
-{
-  return absl::StrCat(aPlace, "[", aIndex, "]");
-}
-
 /** Reads the parts of one document and remembers names across them. */
 class DocumentReader
 {
@@ -44,8 +38,8 @@
   void readRegions(ObjectReader& aReader, Document& aDocument);
   void readMembers(ObjectReader& aReader, Document& aDocument);
   void readServices(ObjectReader& aReader, Document& aDocument);
-  Member readMember(const Json::Value& aValue, const std::string& aPlace);
-  Service readService(const Json::Value& aValue, const std::string& aPlace);
+  Member readMember(const Json::Value& aValue, const Place& aPlace);
+  Service readService(const Json::Value& aValue, const Place& aPlace);
   void readClasses(ObjectReader& aReader, Service& aService);
   void readTargets(ObjectReader& aReader, Service& aService);
   void noteUnique(ObjectReader& aReader,
@@ -63,7 +57,7 @@
 DocumentReader::read(const Json::Value& aRoot)
 {
   Document document;
-  ObjectReader reader(mSource, aRoot, "");
+  ObjectReader reader(mSource, aRoot, {});
   document.revision = reader.integer("revision", kRevisionRange);
   document.replayWindow = reader.millisecondsOr(
     "replayWindowMilliseconds", kTimeRangeMs, kDefaultReplayWindow);
@@ -88,8 +82,10 @@
     return;
   }
   const auto [it, isNew] =
-    mDeclared.emplace(absl::StrCat(aKind, " ", aName), aReader.place(aKey));
-  if (!isNew) {
+    mDeclared.try_emplace(absl::StrCat(aKind, " ", aName));
+  if (isNew) {
+    it->second = aReader.place(aKey).toString();
+  } else {
     aReader.addFault(
       aKey,
       absl::StrCat(
@@ -102,14 +98,13 @@
 {
   const auto& regions = aReader.array("regions");
   for (Json::ArrayIndex i = 0; i < regions.size(); ++i) {
-    ObjectReader reader(
-      mSource, regions[i], indexed(aReader.place("regions"), i));
+    ObjectReader reader(mSource, regions[i], aReader.place("regions", i));
     Region region;
     region.name = reader.string("name");
     noteUnique(reader, "name", "region", region.name);
     const auto& zones = reader.array("zones");
     for (Json::ArrayIndex k = 0; k < zones.size(); ++k) {
-      const auto place = indexed(reader.place("zones"), k);
+      const auto place = reader.place("zones", k);
       if (!zones[k].isString()) {
         mSource.addFault(zones[k], place, "expected the name of a zone");
       } else if (!mZones.insert(zones[k].asString()).second) {
@@ -133,12 +128,12 @@
   const auto& members = aReader.array("members", false);
   for (Json::ArrayIndex i = 0; i < members.size(); ++i) {
     aDocument.members.push_back(
-      readMember(members[i], indexed(aReader.place("members"), i)));
+      readMember(members[i], aReader.place("members", i)));
   }
 }
 
 Member
-DocumentReader::readMember(const Json::Value& aValue, const std::string& aPlace)
+DocumentReader::readMember(const Json::Value& aValue, const Place& aPlace)
 {
   ObjectReader reader(mSource, aValue, aPlace);
   Member member;
@@ -169,13 +164,12 @@
   const auto& services = aReader.array("services");
   for (Json::ArrayIndex i = 0; i < services.size(); ++i) {
     aDocument.services.push_back(
-      readService(services[i], indexed(aReader.place("services"), i)));
+      readService(services[i], aReader.place("services", i)));
   }
 }
 
 Service
-DocumentReader::readService(const Json::Value& aValue,
-                            const std::string& aPlace)
+DocumentReader::readService(const Json::Value& aValue, const Place& aPlace)
 {
   ObjectReader reader(mSource, aValue, aPlace);
   Service service;
@@ -198,8 +192,7 @@
 {
   const auto& classes = aReader.array("classes");
   for (Json::ArrayIndex i = 0; i < classes.size(); ++i) {
-    ObjectReader reader(
-      mSource, classes[i], indexed(aReader.place("classes"), i));
+    ObjectReader reader(mSource, classes[i], aReader.place("classes", i));
     ServiceClass entry;
     entry.name = reader.string("name");
     noteUnique(reader, "name", "class of " + aService.name, entry.name);
@@ -231,8 +224,7 @@
 {
   const auto& targets = aReader.array("targets");
   for (Json::ArrayIndex i = 0; i < targets.size(); ++i) {
-    ObjectReader reader(
-      mSource, targets[i], indexed(aReader.place("targets"), i));
+    ObjectReader reader(mSource, targets[i], aReader.place("targets", i));
     Target target;
     target.name = reader.string("name");
     noteUnique(reader, "name", "target", target.name);
--- a/src/libs/config/instancelist.cpp
+++ b/src/libs/config/instancelist.cpp
@@ -2,8 +2,6 @@
 
 #include "config/jsonreader.h"
 
-#include <absl/strings/str_cat.h>
-
 namespace Config {
 
 namespace {
@@ -11,7 +9,7 @@
 Instance
 readInstance(JsonSource& aSource,
              const Json::Value& aValue,
-             const std::string& aPlace)
+             const Place& aPlace)
 {
   ObjectReader reader(aSource, aValue, aPlace);
   Instance instance;
@@ -38,11 +36,11 @@
     return toStatus(source.faults());
   }
   InstanceList list;
-  ObjectReader reader(source, root, "");
+  ObjectReader reader(source, root, {});
   const auto& instances = reader.array("instances");
   for (Json::ArrayIndex i = 0; i < instances.size(); ++i) {
     list.instances.push_back(
-      readInstance(source, instances[i], absl::StrCat("instances[", i, "]")));
+      readInstance(source, instances[i], reader.place("instances", i)));
   }
   reader.finish();
   if (!source.faults().empty()) {
--- a/src/libs/config/jsonreader.cpp
+++ b/src/libs/config/jsonreader.cpp
@@ -8,6 +8,7 @@
 #include <json/reader.h>
 
 #include <algorithm>
+#include <cstring>
 #include <memory>
 #include <utility>
 
@@ -110,11 +111,11 @@
 
 void
 JsonSource::addFault(const Json::Value& aValue,
-                     const std::string& aPlace,
+                     const Place& aPlace,
                      const std::string& aMessage)
 {
   auto fault = locate(aValue.getOffsetStart());
-  fault.place = aPlace;
+  fault.place = aPlace.toString();
   fault.message = aMessage;
   mFaults.push_back(std::move(fault));
 }
@@ -137,22 +138,16 @@
 
 ObjectReader::ObjectReader(JsonSource& aSource,
                            const Json::Value& aValue,
-                           std::string aPlace)
+                           Place aPlace)
   : mSource(aSource)
   , mValue(aValue.isObject() ? aValue : emptyObject())
-  , mPlace(std::move(aPlace))
+  , mPlace(aPlace)
 {
   if (!aValue.isObject()) {
     aSource.addFault(aValue, mPlace, expected("an object", aValue));
   }
 }
 
-std::string
-ObjectReader::place(const char* aKey) const
-{
-  return mPlace.empty() ? aKey : absl::StrCat(mPlace, ".", aKey);
-}
-
 bool
 ObjectReader::has(const char* aKey) const
 {
@@ -162,14 +157,18 @@
 const Json::Value*
 ObjectReader::find(const char* aKey, bool aRequired)
 {
-  mKnownKeys.insert(aKey);
-  if (!mValue.isMember(aKey)) {
-    if (aRequired && &mValue != &emptyObject()) {
-      mSource.addFault(mValue, place(aKey), "this key is missing");
-    }
-    return nullptr;
+  const auto* value = mValue.find(aKey, aKey + std::strlen(aKey));
+  const auto isSame = [aKey](const char* aKnown) {
+    return std::strcmp(aKnown, aKey) == 0;
+  };
+  if (std::none_of(mKnownKeys.begin(), mKnownKeys.end(), isSame)) {
+    mKnownKeys.push_back(aKey);
+    mFoundKeys += value == nullptr ? 0 : 1;
   }
-  return &mValue[aKey];
+  if (value == nullptr && aRequired && &mValue != &emptyObject()) {
+    mSource.addFault(mValue, place(aKey), "this key is missing");
+  }
+  return value;
 }
 
 void
@@ -186,11 +185,11 @@
   if (value == nullptr) {
     return {};
   }
-  if (!value->isString() || value->asString().empty()) {
+  auto text = value->isString() ? value->asString() : std::string();
+  if (text.empty()) {
     addFault(aKey, expected("a string that is not empty", *value));
-    return {};
   }
-  return value->asString();
+  return text;
 }
 
 std::string
@@ -352,12 +351,21 @@
 void
 ObjectReader::finish()
 {
+  if (mFoundKeys == mValue.size()) {
+    return;
+  }
+  auto known = mKnownKeys;
+  std::sort(
+    known.begin(), known.end(), [](const char* aLeft, const char* aRight) {
+      return std::strcmp(aLeft, aRight) < 0;
+    });
   for (const auto& key : mValue.getMemberNames()) {
-    if (!mKnownKeys.contains(key)) {
+    const auto isSame = [&key](const char* aKnown) { return key == aKnown; };
+    if (std::none_of(known.begin(), known.end(), isSame)) {
       mSource.addFault(mValue[key],
                        place(key.c_str()),
                        absl::StrCat("unknown key; expected one of ",
-                                    absl::StrJoin(mKnownKeys, ", ")));
+                                    absl::StrJoin(known, ", ")));
     }
   }
 }
--- a/src/libs/config/jsonreader.h
+++ b/src/libs/config/jsonreader.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include "config/diagnostic.h"
+#include "config/place.h"
 #include "core/endpoint.h"
 
+#include <absl/container/inlined_vector.h>
 #include <json/value.h>
 
 #include <absl/strings/string_view.h>
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace Config {
@@ -24,7 +25,7 @@
   Json::Value parse();
 
   void addFault(const Json::Value& aValue,
-                const std::string& aPlace,
+                const Place& aPlace,
                 const std::string& aMessage);
   const Diagnostics& faults() const { return mFaults; }
 
@@ -52,9 +53,9 @@
 class ObjectReader
 {
 public:
-  ObjectReader(JsonSource& aSource,
-               const Json::Value& aValue,
-               std::string aPlace);
+  ObjectReader(JsonSource& aSource, const Json::Value& aValue, Place aPlace);
+  ObjectReader(const ObjectReader&) = delete;
+  ObjectReader& operator=(const ObjectReader&) = delete;
 
   std::string string(const char* aKey);
   std::string stringOr(const char* aKey, const std::string& aDefault);
@@ -79,7 +80,12 @@
   const Json::Value& object(const char* aKey, bool aRequired = true);
 
   bool has(const char* aKey) const;
-  std::string place(const char* aKey) const;
+  /** Places of members and elements; they refer to this reader. */
+  Place place(const char* aKey) const { return mPlace.member(aKey); }
+  Place place(const char* aKey, std::size_t aIndex) const
+  {
+    return mPlace.element(aKey, aIndex);
+  }
   void addFault(const char* aKey, const std::string& aMessage);
   /** Notes the keys that nothing read. */
   void finish();
@@ -89,8 +95,10 @@
 
   JsonSource& mSource;
   const Json::Value& mValue;
-  std::string mPlace;
-  std::set<std::string> mKnownKeys;
+  Place mPlace;
+  absl::InlinedVector<const char*, 16> mKnownKeys;
+  /** How many of the known keys the object has. */
+  std::size_t mFoundKeys = 0;
 };
 
 } // namespace Config
--- a/src/libs/config/settings.cpp
+++ b/src/libs/config/settings.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
-#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 
@@ -40,7 +39,7 @@
   if (!aReader.has("log")) {
     return log;
   }
-  ObjectReader reader(aSource, aReader.object("log"), "log");
+  ObjectReader reader(aSource, aReader.object("log"), aReader.place("log"));
   log.level =
     reader.word("level", { "debug", "info", "warn", "error" }, "info");
   log.json = reader.word("format", { "text", "json" }, "text") == "json";
@@ -60,7 +59,7 @@
       seeds.push_back(*endpoint);
     } else {
       aSource.addFault(values[i],
-                       absl::StrCat("seeds[", i, "]"),
+                       aReader.place("seeds", i),
                        std::string(endpoint.status().message()));
     }
   }
@@ -95,7 +94,7 @@
   if (!source.faults().empty()) {
     return source.faults();
   }
-  ObjectReader reader(source, root, "");
+  ObjectReader reader(source, root, {});
   SettingsType settings;
   settings.common = readCommon(source, reader);
   aReadOwnKeys(reader, settings);
