--- a/benchmarks/datapathbench.cpp
+++ b/benchmarks/datapathbench.cpp
@@ -66,6 +66,7 @@
   std::uint64_t sum = 0;
   for (int round = 0; round < kRounds; ++round) {
     std::vector<Packet::FlowKey> flows;
+    flows.reserve(kChoices);
     for (int i = 0; i < kChoices; ++i) {
       flows.push_back(randomFlow(random, random() % kAddresses));
     }
--- a/benchmarks/spreadbench.cpp
+++ b/benchmarks/spreadbench.cpp
@@ -60,10 +60,11 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aLoad.duration)
       .count();
   std::vector<Request> requests;
-  for (double at = gap(random); at < static_cast<double>(end);
-       at += gap(random)) {
+  auto at = gap(random);
+  while (at < static_cast<double>(end)) {
     requests.push_back({ static_cast<std::int64_t>(at),
                          1 + static_cast<std::int64_t>(work(random)) });
+    at += gap(random);
   }
   return requests;
 }
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -6,7 +6,6 @@
 
 import json
 import pathlib
-import re
 import sys
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -135,8 +134,12 @@
 
 
 def replace(page, name, table):
-    pattern = rf"(<!-- {name} -->\n).*?(\n<!-- end -->)"
-    return re.sub(pattern, lambda m: m[1] + table + m[2], page, flags=re.S)
+    """The page with another table between the marks of that name."""
+    before, start, rest = page.partition(f"<!-- {name} -->\n")
+    _, end, after = rest.partition("<!-- end -->")
+    if not start or not end:
+        raise RuntimeError(f"no marks for {name} in {PAGE}")
+    return before + start + table + "\n" + end + after
 
 
 def main():
--- a/src/libs/control/viewstore.cpp
+++ b/src/libs/control/viewstore.cpp
@@ -221,7 +221,7 @@
   if (!aReply.document().empty()) {
     const auto text = d->receive(
       d->documents, aReply.document(), aReply.base_digest(), aReply.digest());
-    const auto status =
+    auto status =
       text.ok() ? offerDocument(*text, aReply.name()) : text.status();
     if (!status.ok()) {
       return status;
@@ -232,7 +232,7 @@
                                  aReply.instance_list(),
                                  aReply.list_base_digest(),
                                  aReply.list_digest());
-    const auto status =
+    auto status =
       text.ok() ? offerInstanceList(*text, aReply.list_index(), aReply.name())
                 : text.status();
     if (!status.ok()) {
