--- a/src/lacewingctl/explaincommand.cpp
+++ b/src/lacewingctl/explaincommand.cpp
@@ -1,8 +1,10 @@
 #include "commands.h"
 
 #include "exitcode.h"
+#include "processpage.h"
 #include "textfile.h"
 
+#include "ownership/targetchoice.h"
 #include "routing/fleetview.h"
 #include "routing/flowhasher.h"
 
@@ -51,10 +53,54 @@
   return key;
 }
 
-Json::Value
+/** Adds the loads of running agents to the candidates of a flow. */
+absl::StatusOr<std::vector<Ownership::Candidate>>
+readCandidates(const Routing::ServiceView& aService,
+               const std::vector<std::string>& aAgents)
+{
+  std::vector<Ownership::Candidate> candidates;
+  for (const auto& endpoint : aAgents) {
+    const auto page = readPage(endpoint, "/status");
+    if (!page.ok()) {
+      return page.status();
+    }
+    const auto target = Config::identityOf((*page)["name"].asString());
+    const auto index = aService.indexOf(target);
+    if (!index || (*page)["leaving"].asBool()) {
+      continue;
+    }
+    const auto& declared = *aService.targets[*index].target;
+    candidates.push_back({ target,
+                           declared.zone,
+                           { (*page)["slotsInUse"].asUInt(),
+                             (*page)["slots"].asUInt(),
+                             (*page)["connectionsInUse"].asUInt(),
+                             declared.connections } });
+  }
+  return candidates;
+}
+
+/** The owner that a home would choose for a new flow now. */
+std::string
+ownerFor(const Routing::ClassView& aClass,
+         std::uint64_t aFlowHash,
+         const std::vector<Ownership::Candidate>& aCandidates)
+{
+  Ownership::ChoiceRequest request;
+  request.occupies = aClass.serviceClass->occupies;
+  request.preference = aClass.service->service->zonePreference;
+  request.flowHash = aFlowHash;
+  const auto owner = Ownership::chooseTarget(aCandidates, request);
+  const auto index = aClass.service->indexOf(owner);
+  return index ? aClass.service->targets[*index].target->name
+               : "none: no agent asked has room";
+}
+
+absl::StatusOr<Json::Value>
 explain(const Routing::FleetView& aView,
         const Packet::FlowKey& aFlow,
-        const Config::FlowHashKey& aKey)
+        const Config::FlowHashKey& aKey,
+        const std::vector<std::string>& aAgents)
 {
   Json::Value page;
   page["flow"] = Packet::formatFlowKey(aFlow);
@@ -70,7 +116,8 @@
   page["class"] = found.serviceClass->name;
   const auto* member = aView.document().findMember(aFlow.caller.address);
   page["member"] = member == nullptr ? "none" : member->name;
-  const auto homes = service.ring.homes(Routing::FlowHasher(aKey).hash(aFlow));
+  const auto hash = Routing::FlowHasher(aKey).hash(aFlow);
+  const auto homes = service.ring.homes(hash);
   for (const auto index : homes) {
     page["homes"].append(service.targets[index].target->name);
   }
@@ -84,6 +131,15 @@
     page["candidates"].append(target.draining ? target.name + " (draining)"
                                               : target.name);
   }
+  page["owner"] = "the candidate with the least of its room in use; name the "
+                  "agents with --agent to see which";
+  if (!aAgents.empty()) {
+    const auto candidates = readCandidates(service, aAgents);
+    if (!candidates.ok()) {
+      return candidates.status();
+    }
+    page["owner"] = ownerFor(found, hash, *candidates);
+  }
   page["why"] =
     "a balancer that does not know the owner sends the packet to the first "
     "home that answers; the home gives a new flow to the candidate with the "
@@ -119,7 +175,15 @@
   }
   const Routing::FleetView view(
     std::make_shared<const Config::Document>(std::move(file->document)), {});
-  const auto page = explain(view, *flow, *key);
+  std::vector<std::string> agents;
+  if (options.count("agent") > 0) {
+    agents = options["agent"].as<std::vector<std::string>>();
+  }
+  const auto explained = explain(view, *flow, *key, agents);
+  if (!explained.ok()) {
+    return reportUnusable(explained.status());
+  }
+  const auto& page = *explained;
   if (options.count("json") > 0) {
     std::cout << page.toStyledString();
     return page.isMember("service") ? kSuccess : kNegative;
--- a/src/lacewingctl/main.cpp
+++ b/src/lacewingctl/main.cpp
@@ -13,6 +13,7 @@
   "  pack FILE OUTPUT               the packed form of a large document\n"
   "  compare FILE FILE              what differs between two documents\n"
   "  explain FILE --from A:P --to A:P --protocol tcp|udp --key HEX\n"
+  "          [--agent A:P]...\n"
   "                                 where a flow would go, and why\n"
   "  status A:P...                  state of running processes\n"
   "  histogram A:P...               flow durations by class and member\n"
@@ -35,6 +36,9 @@
       "tcp or udp",
       cxxopts::value<std::string>()->default_value("tcp"));
   add("key", "flowHashKey of the settings", cxxopts::value<std::string>());
+  add("agent",
+      "status endpoints of agents, to name the owner of a new flow",
+      cxxopts::value<std::vector<std::string>>());
   add("json", "print JSON");
   add("help", "print this help");
   add("version", "print the version");
--- a/src/lacewingctl/processcommands.cpp
+++ b/src/lacewingctl/processcommands.cpp
@@ -1,55 +1,20 @@
 #include "commands.h"
 
 #include "exitcode.h"
+#include "processpage.h"
 
-#include "core/endpoint.h"
-#include "core/errorcontext.h"
-
-#include <absl/status/statusor.h>
-#include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
-#include <httplib.h>
-#include <json/reader.h>
 #include <json/value.h>
 
 #include <iostream>
 
 namespace {
 
-constexpr std::chrono::seconds kTimeout{ 3 };
-constexpr int kOk = 200;
-
-/** The JSON page of one process; errors tell the step and the peer. */
-absl::StatusOr<Json::Value>
-readPage(const std::string& aEndpoint, const char* aPath)
-{
-  const auto endpoint = Core::parseEndpoint(aEndpoint);
-  if (!endpoint.ok()) {
-    return endpoint.status();
-  }
-  const auto step = absl::StrCat("read ", aPath);
-  httplib::Client client(Core::formatAddress(endpoint->address),
-                         endpoint->port);
-  client.set_connection_timeout(kTimeout);
-  client.set_read_timeout(kTimeout);
-  const auto result = client.Get(aPath);
-  if (!result || result->status != kOk) {
-    return Core::withContext(
-      absl::UnavailableError("no answer"), step, aEndpoint);
-  }
-  Json::Value page;
-  if (!Json::Reader().parse(result->body, page)) {
-    return Core::withContext(
-      absl::DataLossError("the answer is not JSON"), step, aEndpoint);
-  }
-  return page;
-}
-
 void
 printStatusLine(const Json::Value& aPage)
 {
   std::cout << absl::StrFormat(
-    "%-16s %-9s %-10s %8d %.12s %-6s %-8s %6d %5d/%-5d\n",
+    "%-16s %-9s %-10s %8d %.12s %-6s %-8s %7d %6d %5d/%-5d\n",
     aPage["name"].asString(),
     aPage["role"].asString(),
     aPage["zone"].asString(),
@@ -57,6 +22,7 @@
     aPage["digest"].asString(),
     aPage["ready"].asBool() ? "yes" : "no",
     aPage["leaving"].asBool() ? "yes" : "no",
+    aPage["confirmedMillisecondsAgo"].asInt64(),
     aPage["openFlows"].asInt64(),
     aPage["slotsInUse"].asInt64(),
     aPage["slots"].asInt64());
@@ -116,7 +82,7 @@
 {
   if (aLine.options.count("json") == 0) {
     std::cout << absl::StrFormat(
-      "%-16s %-9s %-10s %8s %-12s %-6s %-8s %6s %s\n",
+      "%-16s %-9s %-10s %8s %-12s %-6s %-8s %7s %6s %s\n",
       "name",
       "role",
       "zone",
@@ -124,6 +90,7 @@
       "digest",
       "ready",
       "leaving",
+      "lag ms",
       "flows",
       "slots");
   }
--- a/src/lacewingspread/process.cpp
+++ b/src/lacewingspread/process.cpp
@@ -171,6 +171,8 @@
   aStatus["revision"] = Json::Value::UInt64(state.revision);
   aStatus["digest"] = state.digest;
   aStatus["listIndex"] = Json::Value::UInt64(state.listIndex);
+  aStatus["confirmedMillisecondsAgo"] =
+    Json::Value::Int64(d->store.sinceConfirmed().count());
   aStatus["peers"] = Json::Value::UInt64(d->exchange.peerCount());
   aStatus["serviceCalls"] = Json::Value::UInt64(d->watch.callCount());
   aStatus["exchangedBytes"] =
--- a/src/libs/control/viewstore.cpp
+++ b/src/libs/control/viewstore.cpp
@@ -70,6 +70,8 @@
   Routing::FleetViewPointer view;
   std::atomic<std::uint64_t> generation = 0;
   std::atomic<std::uint64_t> confirmations = 0;
+  std::atomic<std::chrono::steady_clock::time_point> confirmedAt =
+    std::chrono::steady_clock::now();
 };
 
 ViewStore::ViewStore(Telemetry::EventLog& aEvents)
@@ -155,6 +157,7 @@
 ViewStore::confirm()
 {
   ++d->confirmations;
+  d->confirmedAt = std::chrono::steady_clock::now();
 }
 
 ViewState
@@ -191,6 +194,13 @@
   return d->confirmations;
 }
 
+std::chrono::milliseconds
+ViewStore::sinceConfirmed() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::steady_clock::now() - d->confirmedAt.load());
+}
+
 Messages::ViewReply
 ViewStore::answer(const Messages::ViewRequest& aRequest) const
 {
--- a/src/libs/control/viewstore.h
+++ b/src/libs/control/viewstore.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/status.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -65,6 +66,9 @@
   /** Grows with every confirmation; cheap to read. */
   std::uint64_t confirmations() const;
 
+  /** Time since the last confirmation, or since the start. */
+  std::chrono::milliseconds sinceConfirmed() const;
+
   /** Answers a peer with what it lacks. */
   Messages::ViewReply answer(const Messages::ViewRequest& aRequest) const;
   /** Takes over what a peer answered. */
--- a/tests/standins/backendserver.cpp
+++ b/tests/standins/backendserver.cpp
@@ -315,7 +315,7 @@
     http.listen(Core::formatAddress(control->address), control->port);
   });
   GuePort port(*socket, *agent);
-  Transport::DatagramSender control_sender(*socket);
+  Transport::DatagramSender controlSender(*socket);
   BackendServer server(aOptions["service"].as<std::string>(),
                        aOptions["target"].as<std::string>(),
                        port,
@@ -330,12 +330,12 @@
     receiver.receive(*socket, [&](const auto& aDatagram) {
       const auto gue = Packet::GuePacket::parse(aDatagram);
       if (gue.ok()) {
-        handleGue(*gue, server, control_sender, *agent, now);
+        handleGue(*gue, server, controlSender, *agent, now);
       }
     });
     server.tick(now);
     port.flush();
-    control_sender.flush();
+    controlSender.flush();
   }
   http.stop();
   httpThread.join();
