Ownership: Let waiting flows of one member block nobody else

Change: what found no room is kept by class and member, and a flow at its deadline is always tried. Conclusion: a member's limit is its own.

--- a/src/libs/ownership/homeside.h
+++ b/src/libs/ownership/homeside.h
@@ -8,6 +8,7 @@
 #include "ownership/waitingflows.h"
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
 
 #include <algorithm>
 #include <string>
@@ -88,8 +89,8 @@
   template<typename Reparse>
   void retryWaiting(Reparse aReparse, Core::TimePoint aNow)
   {
-    // Once a class has no room, the flows behind have none either.
-    absl::flat_hash_set<std::string> fullClasses;
+    // Once a flow found no room, its like behind it find none either.
+    absl::flat_hash_set<std::string> withoutRoom;
     for (auto& it : mWaiting.flows()) {
       const bool isOverdue = it.deadline <= aNow;
       if (it.isPlaced || (!isOverdue && it.retryAt > aNow)) {
@@ -99,9 +100,9 @@
       if (!arrival) {
         continue;
       }
-      const auto& className = arrival->classView.serviceClass->name;
-      const bool hasRoom =
-        !fullClasses.contains(className) && chooseOwner(*arrival, aNow) != 0;
+      const auto kind = kindOf(*arrival);
+      const bool hasRoom = (isOverdue || !withoutRoom.contains(kind)) &&
+                           chooseOwner(*arrival, aNow) != 0;
       if (hasRoom) {
         it.isPlaced = true;
         it.isLastTry = isOverdue;
@@ -110,7 +111,7 @@
         chooseAndPlace(*arrival, aNow);
         continue;
       }
-      fullClasses.insert(className);
+      withoutRoom.insert(kind);
       if (isOverdue) {
         refuse(*arrival, aNow);
       }
@@ -121,6 +122,16 @@
   std::size_t waitingCount() const { return mWaiting.size(); }
 
 private:
+  /** Flows of one kind have room at the same targets. */
+  std::string kindOf(const Arrival& aArrival) const
+  {
+    const auto& document = mContext.views.current()->document();
+    const auto* member = document.findMember(aArrival.flow.caller.address);
+    return absl::StrCat(aArrival.classView.serviceClass->name,
+                        "/",
+                        member == nullptr ? "" : member->name);
+  }
+
   /**
    * The first home of the flow that is not known to be dead; this agent when
    * it is the home or stands in for one.
--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -171,6 +171,8 @@
       { "say", [&] { w.say(one, two, name(aWords, 3)); } },
       { "repeat", [&] { repeat(aWords); } },
       { "close", [&] { w.closeFlow(one); } },
+      { "callers-of-member", [&] { w.setCallersAreMembers(true); } },
+      { "callers-of-none", [&] { w.setCallersAreMembers(false); } },
       { "abort", [&] { w.abortFlow(one); } },
       { "delay-next", [&] { w.delayNext(time(aWords, 1)); } },
       { "kill", [&] { w.kill(one); } },
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -460,12 +460,14 @@
                 std::uint16_t aPort,
                 const std::string& aBalancer)
 {
-  constexpr std::uint32_t kCallers = 0x0a010000;
+  constexpr std::uint32_t kMembers = 0x0a010000;
+  constexpr std::uint32_t kOthers = 0x0b010000;
   constexpr unsigned kPortBits = 16;
   CallerFlow flow;
   flow.name = aName;
   // Ports come again only after more flows than any world keeps.
-  flow.key.caller = { kCallers + (mNextCaller >> kPortBits),
+  flow.key.caller = { (mAreMembers ? kMembers : kOthers) +
+                        (mNextCaller >> kPortBits),
                       static_cast<std::uint16_t>(mNextCaller) };
   ++mNextCaller;
   flow.key.service = { kServiceAddress, aPort };
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -62,6 +62,9 @@
   /** Lets time pass; everything due happens in its order. */
   void advance(Core::Duration aTime);
 
+  /** Flows opened from now on come from a member, or from nobody's caller. */
+  void setCallersAreMembers(bool aAreMembers) { mAreMembers = aAreMembers; }
+
   /** Sends the first packet of a flow to the class at aPort. */
   void openFlow(const std::string& aName,
                 std::uint16_t aPort,
@@ -172,6 +175,7 @@
   std::uint64_t mBytesBetweenAgents = 0;
   std::uint64_t mClaimers = 0;
   std::uint32_t mNextCaller = 2000;
+  bool mAreMembers = true;
 };
 
 } // namespace World
