Control: Confirm a view that came from a packed document

Cause: the watch compared the digest of the value as published with that of the plain text in force; for a packed document they never agree, so that the service confirmed nothing. Peers hid it; a process without peers would have let its view's lease run out and opened no flow. Change: the digest is that of the plain text, as everywhere else. Ruled out: the store, whose test with a packed document passes. Conclusion: found by reading the change; a test of the watch against a small HTTP fake is not there yet.

--- a/src/libs/control/viewwatch.cpp
+++ b/src/libs/control/viewwatch.cpp
@@ -1,5 +1,6 @@
 #include "control/viewwatch.h"
 
+#include "compression/textcodec.h"
 #include "control/viewstore.h"
 #include "core/stopsource.h"
 #include "core/task.h"
@@ -110,7 +111,8 @@
     if (aValue.hasChanged) {
       // The store tells what is wrong with it; the next change may mend it.
       static_cast<void>(store.offerDocument(aValue.text, source));
-      offeredDigest = Config::digestOf(aValue.text);
+      const auto text = Compression::plainText(aValue.text);
+      offeredDigest = text.ok() ? Config::digestOf(*text) : std::string();
     }
     // A service with old data confirms nothing.
     if (offeredDigest == store.state().digest) {
