Tests: Remove parts of the world that nothing calls

Cause: the change was read once more; bytesBetweenAgents, admitted and forgetFlow were left from a way of measuring that was not taken. Change: they are gone, and the count at each packet with them. Conclusion: no behaviour changed.

--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -322,14 +322,6 @@
   mBackends.at(aTarget)->setWorkOf(std::move(aWorkOf));
 }
 
-void
-World::forgetFlow(const std::string& aName)
-{
-  mFlowNames.erase(mFlows.at(aName).key);
-  mFlows.erase(aName);
-  mLastPacket.erase(aName);
-}
-
 void
 World::setDeaf(const std::string& aTarget, bool aIsDeaf)
 {
@@ -345,9 +337,6 @@
   if (it == mNames.end() || isCut(aFrom, it->second)) {
     return;
   }
-  if (aFrom.front() == 't' && it->second.front() == 't') {
-    mBytesBetweenAgents += aData.size();
-  }
   auto delay = mSettings.linkDelay;
   if (mSettings.jitter.count() > 0) {
     delay += Core::Duration(mRandom() % mSettings.jitter.count());
@@ -634,16 +623,6 @@
                              : it->second->engine.counters().value(aCounter);
 }
 
-std::uint64_t
-World::admitted() const
-{
-  std::uint64_t sum = 0;
-  for (const auto& it : mAgents) {
-    sum += counter(it.first, Ownership::AgentCounter::FlowsAdmitted);
-  }
-  return sum;
-}
-
 Ownership::Load
 World::load(const std::string& aTarget) const
 {
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -111,15 +111,11 @@
   std::uint64_t counter(const std::string& aTarget,
                         Ownership::AgentCounter aCounter) const;
   Ownership::Load load(const std::string& aTarget) const;
-  std::uint64_t bytesBetweenAgents() const { return mBytesBetweenAgents; }
-  std::uint64_t admitted() const;
   /** Flows that were refused in the last step. */
   const std::vector<std::string>& refusedInLastStep() const
   {
     return mRefusedInStep;
   }
-  /** Forgets the flows of callers that are over, to save memory. */
-  void forgetFlow(const std::string& aName);
 
   /**
    * The promises that hold in every world: a line for each that is broken.
@@ -172,7 +168,6 @@
   std::set<std::string> mHeld;
   Core::Duration mNextDelay{ 0 };
   std::vector<std::string> mRefusedInStep;
-  std::uint64_t mBytesBetweenAgents = 0;
   std::uint64_t mClaimers = 0;
   std::uint32_t mNextCaller = 2000;
   bool mAreMembers = true;
