--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -137,7 +137,9 @@
       return AdmitResult::Unproven;
     }
     if (!hasRoom(aArrival, aNow)) {
-      if (aArrival.needsClaim()) {
+      // An assignment from elsewhere may come a second time.
+      const bool isFromElsewhere = aArrival.header.home != mContext.self.target;
+      if (aArrival.needsClaim() && isFromElsewhere) {
         mContext.claims.reject(aArrival.flow, aNow);
       }
       mContext.counters.increment(AgentCounter::FlowsReturned);
--- a/src/libs/routing/homering.cpp
+++ b/src/libs/routing/homering.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <bit>
+#include <functional>
+#include <utility>
 
 namespace Routing {
 
@@ -33,10 +35,31 @@
   return static_cast<std::uint32_t>(value);
 }
 
+/** Mixes two values that are already well spread; not for hostile input. */
+std::uint64_t
+mixedScore(std::uint64_t aFlowHash, Config::Identity aTarget)
+{
+  constexpr std::uint64_t kFirst = 0xff51afd7ed558ccd;
+  constexpr std::uint64_t kSecond = 0xc4ceb9fe1a85ec53;
+  constexpr unsigned kShift = 33;
+  auto value = aFlowHash ^ aTarget;
+  value = (value ^ (value >> kShift)) * kFirst;
+  value = (value ^ (value >> kShift)) * kSecond;
+  return value ^ (value >> kShift);
+}
+
 } // namespace
 
 HomeRing::HomeRing(absl::Span<const Config::Identity> aTargets)
   : mTargets(aTargets.begin(), aTargets.end())
+{
+  if (mTargets.size() > kRankedTargets) {
+    buildRing();
+  }
+}
+
+void
+HomeRing::buildRing()
 {
   for (std::uint32_t target = 0; target < mTargets.size(); ++target) {
     for (std::uint32_t i = 0; i < kPointsPerTarget; ++i) {
@@ -85,12 +108,29 @@
 }
 
 HomeRing::Homes
-HomeRing::homes(std::uint64_t aFlowHash) const
+HomeRing::rankedHomes(std::uint64_t aFlowHash) const
 {
+  std::array<std::pair<std::uint64_t, std::uint32_t>, kRankedTargets> ranks;
+  for (std::uint32_t target = 0; target < mTargets.size(); ++target) {
+    ranks[target] = { mixedScore(aFlowHash, mTargets[target]), target };
+  }
+  const auto most = std::min(kHomes, mTargets.size());
+  const auto end = ranks.begin() + mTargets.size();
+  std::partial_sort(ranks.begin(), ranks.begin() + most, end, std::greater<>());
   Homes list;
+  for (std::size_t i = 0; i < most; ++i) {
+    list.push_back(ranks[i].second);
+  }
+  return list;
+}
+
+HomeRing::Homes
+HomeRing::homes(std::uint64_t aFlowHash) const
+{
   if (mPoints.empty()) {
-    return list;
+    return rankedHomes(aFlowHash);
   }
+  Homes list;
   const auto position = static_cast<std::uint32_t>(aFlowHash);
   const auto most = std::min(kHomes, mTargets.size());
   collect(firstPointAt(position), most, list);
@@ -102,6 +142,7 @@
 {
   Peers list;
   if (mTargets.size() <= kPeers + 1) {
+    // Everybody is everybody's peer.
     for (std::uint32_t target = 0; target < mTargets.size(); ++target) {
       if (target != aTarget) {
         list.push_back(target);
@@ -109,12 +150,10 @@
     }
     return list;
   }
-  // One more is collected at each place, since it may be the target itself.
+  // Each place offers several, since one may be the target itself.
   for (std::uint32_t i = 0; list.size() < kPeers; ++i) {
-    Homes next;
-    const auto position = ringPosition(mTargets[aTarget], kPeerSalt + i);
-    collect(firstPointAt(position), kHomes, next);
-    for (const auto target : next) {
+    const auto place = ringPosition(mTargets[aTarget], kPeerSalt + i);
+    for (const auto target : homes(mixedScore(place, mTargets[aTarget]))) {
       const bool isNew =
         target != aTarget &&
         std::find(list.begin(), list.end(), target) == list.end();
--- a/src/libs/routing/homering.h
+++ b/src/libs/routing/homering.h
@@ -11,10 +11,12 @@
 namespace Routing {
 
 /**
- * A consistent hash ring over the targets of one service. It tells the homes
- * of a flow, the first of which keeps the flow's place in its directory, and
- * the peers of a home, among which it chooses owners. Both depend on nothing
- * but the targets' identities, and adding a target moves only what it takes.
+ * Tells the homes of a flow among the targets of one service, the first of
+ * which keeps the flow's place in its directory, and the peers of a home,
+ * among which it chooses owners. Both depend on nothing but the targets'
+ * identities, and adding a target moves only what it takes. Few targets are
+ * ranked by rendezvous hashing, which needs no memory; more stand on a
+ * consistent hash ring, whose look-up does not grow with them.
  */
 class HomeRing
 {
@@ -23,6 +25,8 @@
   static constexpr std::size_t kHomes = 3;
   /** Targets whose load a home follows. */
   static constexpr std::size_t kPeers = 7;
+  /** Up to so many targets are ranked without a ring. */
+  static constexpr std::size_t kRankedTargets = 16;
 
   using Homes = absl::InlinedVector<std::uint32_t, kHomes>;
   using Peers = absl::InlinedVector<std::uint32_t, kPeers>;
@@ -42,6 +46,8 @@
     std::uint32_t target;
   };
 
+  void buildRing();
+  Homes rankedHomes(std::uint64_t aFlowHash) const;
   std::size_t firstPointAt(std::uint32_t aPosition) const;
   template<typename List>
   void collect(std::size_t aFirst, std::size_t aMost, List& aList) const;
--- /dev/null
+++ b/tests/bench/fleetbench.cpp
@@ -0,0 +1,211 @@
+#include "benches.h"
+
+#include "control/viewexchange.h"
+#include "control/viewserver.h"
+#include "control/viewstore.h"
+#include "control/zeromqsocket.h"
+#include "core/stopsource.h"
+#include "core/systemclock.h"
+#include "telemetry/eventlog.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+
+namespace Bench {
+
+namespace {
+
+constexpr std::size_t kZones = 5;
+constexpr std::chrono::seconds kSteadyTime{ 5 };
+constexpr std::chrono::seconds kPatience{ 60 };
+constexpr int kChanges = 5;
+
+/** The control parts of one process. */
+struct Node
+{
+  Node(const Control::SelfPlace& aSelf,
+       Telemetry::EventLog& aEvents,
+       const Core::StopSource& aStop)
+    : self(aSelf)
+    , store(aEvents)
+    , exchange(context, aSelf, {}, store, aEvents, aStop)
+  {
+  }
+
+  /** One each, as in a process of its own. */
+  Control::ZeroMqContext context;
+  Control::SelfPlace self;
+  Control::ViewStore store;
+  std::unique_ptr<Control::ViewServer> server;
+  Control::ViewExchange exchange;
+};
+
+std::string
+nameOf(std::size_t aNode)
+{
+  return absl::StrCat("n", aNode);
+}
+
+std::string
+makeList(std::size_t aNodes)
+{
+  std::string text = "{\"instances\":[";
+  for (std::size_t i = 0; i < aNodes; ++i) {
+    const auto address = absl::StrCat("127.80.", i / 250, ".", 1 + i % 250);
+    absl::StrAppend(&text,
+                    i == 0 ? "" : ",",
+                    "{\"name\":\"",
+                    nameOf(i),
+                    "\",\"role\":\"target\",\"zone\":\"z",
+                    i % kZones,
+                    "\",\"state\":\"live\",\"data\":\"",
+                    address,
+                    ":7000\",\"control\":\"",
+                    address,
+                    ":7001\"}");
+  }
+  return text + "]}";
+}
+
+std::string
+makeDocument(std::uint64_t aRevision)
+{
+  return absl::StrCat("{\"revision\":",
+                      aRevision,
+                      ",\"regions\":[{\"name\":\"r\",\"zones\":[\"z0\"]}],"
+                      "\"services\":[]}");
+}
+
+class Fleet
+{
+public:
+  Fleet(std::size_t aNodes, Core::StopSource& aStop)
+    : mEvents({ "bench", "off", false })
+    , mStop(aStop)
+  {
+    const auto list = makeList(aNodes);
+    for (std::size_t i = 0; i < aNodes; ++i) {
+      const Control::SelfPlace self{ nameOf(i), absl::StrCat("z", i % kZones) };
+      auto node = std::make_unique<Node>(self, mEvents, aStop);
+      static_cast<void>(node->store.offerInstanceList(list, 1, "bench"));
+      static_cast<void>(node->store.offerDocument(makeDocument(1), "bench"));
+      mNodes.push_back(std::move(node));
+    }
+  }
+  ~Fleet() { mStop.requestStop(); }
+
+  absl::Status start()
+  {
+    for (auto& it : mNodes) {
+      const auto list = it->store.instances();
+      const auto own = std::find_if(
+        list.instances.begin(),
+        list.instances.end(),
+        [&](const auto& aInstance) { return aInstance.name == it->self.name; });
+      auto server = Control::ViewServer::start(
+        it->context, own->control, it->self.name, it->store, mStop);
+      if (!server.ok()) {
+        return server.status();
+      }
+      it->server = std::move(*server);
+    }
+    for (auto& it : mNodes) {
+      it->exchange.update();
+    }
+    return absl::OkStatus();
+  }
+
+  /** Gives a revision to the readers; seconds until everybody has it. */
+  double promote(std::uint64_t aRevision)
+  {
+    const Core::SystemClock clock;
+    const auto start = clock.now();
+    for (auto& it : mNodes) {
+      if (Control::isServiceReader(it->store.instances(), it->self)) {
+        static_cast<void>(
+          it->store.offerDocument(makeDocument(aRevision), "bench"));
+      }
+    }
+    const auto isEverywhere = [&] {
+      return std::all_of(mNodes.begin(), mNodes.end(), [&](const auto& aNode) {
+        return aNode->store.state().revision >= aRevision;
+      });
+    };
+    while (!isEverywhere() && clock.now() - start < kPatience) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    const std::chrono::duration<double> elapsed = clock.now() - start;
+    return elapsed.count();
+  }
+
+  std::uint64_t bytes() const
+  {
+    std::uint64_t sum = 0;
+    for (const auto& it : mNodes) {
+      sum += it->exchange.exchangedBytes() + it->server->sentBytes();
+    }
+    return sum;
+  }
+
+private:
+  Telemetry::EventLog mEvents;
+  Core::StopSource& mStop;
+  std::vector<std::unique_ptr<Node>> mNodes;
+};
+
+double
+processorSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicro = 1e-6;
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         kMicro *
+           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+} // namespace
+
+Records
+runFleet(std::size_t aNodes)
+{
+  auto stop = Core::StopSource::create();
+  if (!stop.ok()) {
+    return {};
+  }
+  Fleet fleet(aNodes, **stop);
+  if (const auto status = fleet.start(); !status.ok()) {
+    return { { absl::StrCat("fleet: ", status.message()), 1, "", 0 } };
+  }
+  const auto at = absl::StrCat(" at ", aNodes, " nodes");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const auto bytesBefore = fleet.bytes();
+  const auto processorBefore = processorSeconds();
+  std::this_thread::sleep_for(kSteadyTime);
+  const auto bytes = static_cast<double>(fleet.bytes() - bytesBefore) /
+                     static_cast<double>(kSteadyTime.count() * aNodes);
+  const auto processor = 100 * (processorSeconds() - processorBefore) /
+                         static_cast<double>(kSteadyTime.count() * aNodes);
+  double slowest = 0;
+  for (int change = 0; change < kChanges; ++change) {
+    slowest = std::max(slowest, fleet.promote(2 + change));
+  }
+  Records records;
+  records.push_back(
+    { "change in force everywhere, slowest of 5" + at,
+      slowest,
+      "s",
+      aNodes >= 256 ? std::optional<double>(3) : std::nullopt });
+  records.push_back({ "exchange of views, steady" + at, bytes, "bytes/s" });
+  records.push_back({ "processor time of the exchange, steady" + at,
+                      processor,
+                      "% of a core" });
+  return records;
+}
+
+} // namespace Bench
--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -184,6 +184,7 @@
       { "release", [&] { w.release(one); } },
       { "work", [&] { w.setWork(one, time(aWords, 2)); } },
       { "deaf", [&] { w.setDeaf(one, true); } },
+      { "mark", [&] { mark(); } },
       { "hearing", [&] { w.setDeaf(one, false); } },
       { "promote-add", [&] { promoteAdd(one); } },
       { "promote-remove", [&] { promoteRemove(one); } },
@@ -214,6 +215,15 @@
     }
   }
 
+  /** Remembers what every target admitted so far. */
+  void mark()
+  {
+    for (const auto& it : world().targetNames()) {
+      mAdmittedAtMark[it] =
+        world().counter(it, Ownership::AgentCounter::FlowsAdmitted);
+    }
+  }
+
   /** "repeat FLOW [BALANCER]", or "repeat FLOW* COUNT". */
   void repeat(const Words& aWords)
   {
@@ -273,6 +283,12 @@
                                   Ownership::AgentCounter::FlowsAdmitted),
                   number(aWords, 3));
     }
+    if (what == "admitted-since-mark") {
+      const auto target = name(aWords, 2);
+      const auto admitted =
+        world().counter(target, Ownership::AgentCounter::FlowsAdmitted);
+      return same(admitted - mAdmittedAtMark[target], number(aWords, 3));
+    }
     if (what == "admitted-between") {
       return between(world().counter(name(aWords, 2),
                                      Ownership::AgentCounter::FlowsAdmitted),
@@ -372,6 +388,7 @@
   World::WorldSettings mSettings;
   std::int64_t mTargets = 7;
   bool mIsCold = false;
+  std::map<std::string, std::uint64_t> mAdmittedAtMark;
   std::unique_ptr<World::World> mWorld;
 };
 
--- a/tests/world/fakebackend.h
+++ b/tests/world/fakebackend.h
@@ -4,6 +4,7 @@
 #include "packet/packetbuilder.h"
 #include "packet/packetview.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -28,7 +29,11 @@
 public:
   FakeBackend(std::string aTarget, std::vector<Run>& aRuns);
 
+  /** Tells the work time of a request. */
+  using WorkOf = std::function<Core::Duration(const std::string& aRequest)>;
+
   void setWork(Core::Duration aWork) { mWork = aWork; }
+  void setWorkOf(WorkOf aWorkOf) { mWorkOf = std::move(aWorkOf); }
   /** A deaf server takes packets and does nothing. */
   void setDeaf(bool aIsDeaf) { mIsDeaf = aIsDeaf; }
 
@@ -49,6 +54,7 @@
     std::uint32_t expected = 0;
   };
 
+  Core::Duration workOf(const std::string& aRequest) const;
   void handleTcp(const Packet::PacketView& aPacket, Core::TimePoint aNow);
   void answer(const Packet::FlowKey& aFlow,
               const std::string& aText,
@@ -61,6 +67,7 @@
   std::string mTarget;
   std::vector<Run>& mRuns;
   Core::Duration mWork = std::chrono::milliseconds(20);
+  WorkOf mWorkOf;
   bool mIsDeaf = false;
   std::uint32_t mNextSequence;
   std::map<Packet::FlowKey, Connection> mConnections;
