--- a/src/lacewingctl/checkcommand.cpp
+++ b/src/lacewingctl/checkcommand.cpp
@@ -3,9 +3,11 @@
 #include "exitcode.h"
 #include "textfile.h"
 
+#include "compression/textcodec.h"
 #include "config/documentparser.h"
 #include "config/settings.h"
 
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -83,3 +85,30 @@
             << document->digest << "\n";
   return kSuccess;
 }
+
+int
+runPack(const CommandLine& aLine)
+{
+  if (aLine.words.size() != 2) {
+    std::cerr << "usage: lacewingctl pack FILE OUTPUT\n";
+    return kUsage;
+  }
+  const auto text = readTextFile(aLine.words[0]);
+  if (!text.ok()) {
+    std::cerr << text.status().message() << "\n";
+    return kUnreadable;
+  }
+  const auto document = Config::parseDocumentOrStatus(aLine.words[0], *text);
+  if (!document.ok()) {
+    std::cout << document.status().message() << "\n";
+    return kNegative;
+  }
+  const auto packed = Compression::compressText(*text);
+  std::ofstream output(aLine.words[1], std::ios::binary);
+  if (!packed.ok() || !(output << *packed)) {
+    std::cerr << aLine.words[1] << ": cannot be written\n";
+    return kUnreadable;
+  }
+  std::cout << text->size() << " bytes, packed " << packed->size() << "\n";
+  return kSuccess;
+}
--- a/src/lacewingctl/commands.h
+++ b/src/lacewingctl/commands.h
@@ -20,6 +20,10 @@
 int
 runDigest(const CommandLine& aLine);
 
+/** Writes the packed form of a document, for values of a megabyte. */
+int
+runPack(const CommandLine& aLine);
+
 /** Prints what differs between two documents. */
 int
 runCompare(const CommandLine& aLine);
--- a/src/lacewingctl/main.cpp
+++ b/src/lacewingctl/main.cpp
@@ -10,6 +10,7 @@
   "Commands:\n"
   "  check [--kind document|balancer|agent] FILE...  every fault of a file\n"
   "  digest FILE                    revision and digest of a document\n"
+  "  pack FILE OUTPUT               the packed form of a large document\n"
   "  compare FILE FILE              what differs between two documents\n"
   "  explain FILE --from A:P --to A:P --protocol tcp|udp --key HEX\n"
   "                                 where a flow would go, and why\n"
@@ -69,6 +70,9 @@
   if (command == "digest") {
     return runDigest(line);
   }
+  if (command == "pack") {
+    return runPack(line);
+  }
   if (command == "compare") {
     return runCompare(line);
   }
--- a/src/lacewingctl/textfile.cpp
+++ b/src/lacewingctl/textfile.cpp
@@ -1,5 +1,7 @@
 #include "textfile.h"
 
+#include "compression/textcodec.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <fstream>
@@ -14,5 +16,10 @@
   }
   std::stringstream text;
   text << stream.rdbuf();
-  return text.str();
+  auto plain = Compression::plainText(text.str());
+  if (!plain.ok()) {
+    return absl::DataLossError(
+      absl::StrCat(aPath, ": cannot be unpacked: ", plain.status().message()));
+  }
+  return plain;
 }
--- a/src/lacewingctl/textfile.h
+++ b/src/lacewingctl/textfile.h
@@ -4,6 +4,6 @@
 
 #include <string>
 
-/** The whole text of a file; errors name it. */
+/** The whole text of a file, unpacked when it is packed; errors name it. */
 absl::StatusOr<std::string>
 readTextFile(const std::string& aPath);
--- a/src/libs/control/textcodec.cpp
+++ b/src/libs/compression/textcodec.cpp
@@ -1,9 +1,10 @@
-#include "control/textcodec.h"
+#include "compression/textcodec.h"
 
 #include <absl/cleanup/cleanup.h>
+#include <absl/strings/match.h>
 #include <zstd.h>
 
-namespace Control {
+namespace Compression {
 
 namespace {
 
@@ -60,4 +61,17 @@
   return text;
 }
 
-} // namespace Control
+bool
+isCompressed(absl::string_view aData)
+{
+  constexpr char kMagic[] = "\x28\xb5\x2f\xfd";
+  return absl::StartsWith(aData, kMagic);
+}
+
+absl::StatusOr<std::string>
+plainText(const std::string& aValue)
+{
+  return isCompressed(aValue) ? decompressText(aValue) : aValue;
+}
+
+} // namespace Compression
--- a/src/libs/control/textcodec.h
+++ b/src/libs/compression/textcodec.h
@@ -5,7 +5,7 @@
 #include <absl/strings/string_view.h>
 #include <string>
 
-namespace Control {
+namespace Compression {
 
 /**
  * Compresses aText with Zstandard. With a base, what the base holds already
@@ -18,4 +18,12 @@
 absl::StatusOr<std::string>
 decompressText(absl::string_view aData, absl::string_view aBase = {});
 
-} // namespace Control
+/** True for a text in its compressed form, by its first four bytes. */
+bool
+isCompressed(absl::string_view aData);
+
+/** A published value as text, whether it is compressed or not. */
+absl::StatusOr<std::string>
+plainText(const std::string& aValue);
+
+} // namespace Compression
--- a/src/libs/control/viewexchange.cpp
+++ b/src/libs/control/viewexchange.cpp
@@ -97,6 +97,7 @@
     request.set_revision(state.revision);
     request.set_digest(state.digest);
     request.set_list_index(state.listIndex);
+    request.set_list_digest(state.listDigest);
     const auto text = request.SerializeAsString();
     if (zmq_send(aSocket.value(), text.data(), text.size(), 0) < 0) {
       return aSocket.lastError("ask for the view", mPeer);
--- a/src/libs/control/viewserver.cpp
+++ b/src/libs/control/viewserver.cpp
@@ -37,7 +37,7 @@
 
   void run()
   {
-    while (!stop.isStopRequested()) {
+    while (!isEnded && !stop.isStopRequested()) {
       zmq_pollitem_t item{ socket.value(), 0, ZMQ_POLLIN, 0 };
       if (zmq_poll(&item, 1, kStopCheckInterval.count()) > 0) {
         answerOne();
@@ -78,6 +78,7 @@
   const ViewStore& store;
   const Core::StopSource& stop;
   std::atomic<std::uint64_t> sentBytes = 0;
+  std::atomic<bool> isEnded = false;
   Core::Task task;
 };
 
@@ -107,7 +108,10 @@
 {
 }
 
-ViewServer::~ViewServer() = default;
+ViewServer::~ViewServer()
+{
+  d->isEnded = true;
+}
 
 std::uint64_t
 ViewServer::sentBytes() const
--- a/src/libs/control/viewstore.cpp
+++ b/src/libs/control/viewstore.cpp
@@ -1,29 +1,35 @@
 #include "control/viewstore.h"
 
+#include "compression/textcodec.h"
+#include "compression/texthistory.h"
 #include "config/documentparser.h"
-#include "control/textcodec.h"
 #include "core/errorcontext.h"
 #include "messages/peermessages.pb.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <atomic>
-#include <deque>
-#include <map>
 #include <mutex>
 
 namespace Control {
 
 namespace {
 
-/** Earlier texts that differences can be made to. */
-constexpr std::size_t kEarlierTexts = 4;
-
-struct TextRevision
+/** The text in an update, which must have the digest that was told. */
+absl::StatusOr<std::string>
+textOf(const Compression::TextHistory& aHistory,
+       const std::string& aData,
+       const std::string& aBaseDigest,
+       const std::string& aDigest)
 {
-  std::string digest;
-  std::string text;
-};
+  const auto* base = aHistory.find(aBaseDigest);
+  auto text = Compression::decompressText(
+    aData, base == nullptr ? absl::string_view() : *base);
+  if (text.ok() && Config::digestOf(*text) != aDigest) {
+    return absl::DataLossError("a text does not have its digest");
+  }
+  return text;
+}
 
 } // namespace
 
@@ -44,47 +50,22 @@
     }
   }
 
-  void keepText(const std::string& aDigest, const std::string& aText)
-  {
-    texts.push_front({ aDigest, aText });
-    if (texts.size() > kEarlierTexts) {
-      texts.pop_back();
-    }
-    compressed.clear();
-  }
-
-  const std::string* findText(const std::string& aDigest) const
-  {
-    for (const auto& it : texts) {
-      if (it.digest == aDigest) {
-        return &it.text;
-      }
-    }
-    return nullptr;
-  }
-
-  /** The newest text, as a difference to aBase when that is known. */
-  const std::string& compressedFor(const std::string& aBaseDigest) const
+  absl::StatusOr<std::string> receive(const Compression::TextHistory& aHistory,
+                                      const std::string& aData,
+                                      const std::string& aBaseDigest,
+                                      const std::string& aDigest) const
   {
-    const auto* base = findText(aBaseDigest);
-    const auto key = base == nullptr ? std::string() : aBaseDigest;
-    auto it = compressed.find(key);
-    if (it == compressed.end()) {
-      const auto data = compressText(
-        texts.front().text, base == nullptr ? absl::string_view() : *base);
-      it = compressed.emplace(key, data.ok() ? *data : std::string()).first;
-    }
-    return it->second;
+    const std::lock_guard lock(mutex);
+    return textOf(aHistory, aData, aBaseDigest, aDigest);
   }
 
   Telemetry::EventLog& events;
   mutable std::mutex mutex;
   std::shared_ptr<const Config::Document> document;
-  /** Newest first. */
-  std::deque<TextRevision> texts;
-  mutable std::map<std::string, std::string> compressed;
+  Compression::TextHistory documents;
+  Compression::TextHistory lists;
   Config::InstanceList instances;
-  std::string listText;
+  std::string listDigest;
   std::uint64_t listIndex = 0;
   Routing::FleetViewPointer view;
   std::atomic<std::uint64_t> generation = 0;
@@ -99,7 +80,7 @@
 ViewStore::~ViewStore() = default;
 
 absl::Status
-ViewStore::offerDocument(const std::string& aText, const std::string& aSource)
+ViewStore::offerDocument(const std::string& aValue, const std::string& aSource)
 {
   const auto refuse = [&](const absl::Status& aStatus) {
     auto status =
@@ -107,7 +88,11 @@
     d->events.write(Telemetry::Event::ViewRefused, status.message());
     return status;
   };
-  auto parsed = Config::parseDocumentOrStatus(aSource, aText);
+  const auto text = Compression::plainText(aValue);
+  if (!text.ok()) {
+    return refuse(text.status());
+  }
+  auto parsed = Config::parseDocumentOrStatus(aSource, *text);
   if (!parsed.ok()) {
     return refuse(parsed.status());
   }
@@ -128,7 +113,7 @@
                    " and was offered with digest ",
                    parsed->digest)));
   }
-  d->keepText(parsed->digest, aText);
+  d->documents.add(parsed->digest, *text);
   d->document = std::make_shared<const Config::Document>(std::move(*parsed));
   d->rebuildView();
   d->events.write(Telemetry::Event::ViewInForce,
@@ -142,11 +127,13 @@
 }
 
 absl::Status
-ViewStore::offerInstanceList(const std::string& aText,
+ViewStore::offerInstanceList(const std::string& aValue,
                              std::uint64_t aIndex,
                              const std::string& aSource)
 {
-  auto parsed = Config::parseInstanceList(aSource, aText);
+  const auto text = Compression::plainText(aValue);
+  auto parsed = text.ok() ? Config::parseInstanceList(aSource, *text)
+                          : absl::StatusOr<Config::InstanceList>(text.status());
   if (!parsed.ok()) {
     d->events.write(Telemetry::Event::InstanceListRefused,
                     parsed.status().message());
@@ -157,7 +144,8 @@
     return absl::OkStatus();
   }
   d->listIndex = aIndex;
-  d->listText = aText;
+  d->listDigest = Config::digestOf(*text);
+  d->lists.add(d->listDigest, *text);
   d->instances = std::move(*parsed);
   d->rebuildView();
   return absl::OkStatus();
@@ -175,6 +163,7 @@
   const std::lock_guard lock(d->mutex);
   ViewState state;
   state.listIndex = d->listIndex;
+  state.listDigest = d->listDigest;
   state.view = d->view;
   if (d->document != nullptr) {
     state.revision = d->document->revision;
@@ -211,16 +200,17 @@
     reply.set_revision(d->document->revision);
     reply.set_digest(d->document->digest);
     if (d->document->revision > aRequest.revision()) {
-      reply.set_document(d->compressedFor(aRequest.digest()));
-      if (d->findText(aRequest.digest()) != nullptr) {
-        reply.set_base_digest(aRequest.digest());
-      }
+      auto update = d->documents.updateFor(aRequest.digest());
+      reply.set_document(std::move(update.data));
+      reply.set_base_digest(std::move(update.baseDigest));
     }
   }
   reply.set_list_index(d->listIndex);
+  reply.set_list_digest(d->listDigest);
   if (d->listIndex > aRequest.list_index()) {
-    const auto data = compressText(d->listText);
-    reply.set_instance_list(data.ok() ? *data : std::string());
+    auto update = d->lists.updateFor(aRequest.list_digest());
+    reply.set_instance_list(std::move(update.data));
+    reply.set_list_base_digest(std::move(update.baseDigest));
   }
   return reply;
 }
@@ -229,31 +219,23 @@
 ViewStore::accept(const Messages::ViewReply& aReply)
 {
   if (!aReply.document().empty()) {
-    std::string base;
-    {
-      const std::lock_guard lock(d->mutex);
-      const auto* text = d->findText(aReply.base_digest());
-      base = text == nullptr ? std::string() : *text;
-    }
-    const auto text = decompressText(aReply.document(), base);
-    if (!text.ok()) {
-      return text.status();
-    }
-    if (Config::digestOf(*text) != aReply.digest()) {
-      return absl::DataLossError("the document does not have its digest");
-    }
-    if (auto status = offerDocument(*text, aReply.name()); !status.ok()) {
+    const auto text = d->receive(
+      d->documents, aReply.document(), aReply.base_digest(), aReply.digest());
+    const auto status =
+      text.ok() ? offerDocument(*text, aReply.name()) : text.status();
+    if (!status.ok()) {
       return status;
     }
   }
   if (!aReply.instance_list().empty()) {
-    const auto text = decompressText(aReply.instance_list());
-    if (!text.ok()) {
-      return text.status();
-    }
-    if (auto status =
-          offerInstanceList(*text, aReply.list_index(), aReply.name());
-        !status.ok()) {
+    const auto text = d->receive(d->lists,
+                                 aReply.instance_list(),
+                                 aReply.list_base_digest(),
+                                 aReply.list_digest());
+    const auto status =
+      text.ok() ? offerInstanceList(*text, aReply.list_index(), aReply.name())
+                : text.status();
+    if (!status.ok()) {
       return status;
     }
   }
--- a/src/libs/control/viewstore.h
+++ b/src/libs/control/viewstore.h
@@ -24,6 +24,7 @@
   std::uint64_t revision = 0;
   std::string digest;
   std::uint64_t listIndex = 0;
+  std::string listDigest;
   /** Null before the first document. */
   Routing::FleetViewPointer view;
 };
@@ -42,15 +43,15 @@
   ViewStore& operator=(const ViewStore&) = delete;
 
   /**
-   * Checks a document and puts it in force when it is newer. An older one is
-   * left aside without an error, since a source may lag; a faulty one, or
-   * another content under the revision in force, is an error.
+   * Checks a document, which may be compressed, and puts it in force when it is
+   * newer. An older one is left aside without an error, since a source may lag;
+   * a faulty one, or another content under the revision in force, is an error.
    */
-  absl::Status offerDocument(const std::string& aText,
+  absl::Status offerDocument(const std::string& aValue,
                              const std::string& aSource);
 
   /** Takes a list with a higher index over. */
-  absl::Status offerInstanceList(const std::string& aText,
+  absl::Status offerInstanceList(const std::string& aValue,
                                  std::uint64_t aIndex,
                                  const std::string& aSource);
 
--- a/src/libs/ownership/agentengine.h
+++ b/src/libs/ownership/agentengine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ownership/agentcontext.h"
+#include "ownership/bytebudget.h"
 #include "ownership/claimside.h"
 #include "ownership/homeside.h"
 #include "ownership/ownerside.h"
@@ -157,6 +158,8 @@
 private:
   static constexpr std::chrono::milliseconds kHeartbeatInterval{ 250 };
   static constexpr std::chrono::milliseconds kReportSpacing{ 5 };
+  /** Part of a node's 11 KB/s of control traffic. */
+  static constexpr double kReportBytesPerSecond = 8'000;
   static constexpr std::chrono::milliseconds kExpiryInterval{ 250 };
   /** A gap between two ticks that is longer means that the process slept. */
   static constexpr std::chrono::milliseconds kSleepLimit{ 1'000 };
@@ -376,13 +379,24 @@
     // Homes may have flows waiting for the first free slot.
     const bool isRoomAgain =
       mReported.slotsInUse >= mReported.slots && load.slotsInUse < load.slots;
-    if (isRoomAgain || aNow - mReportedAt >= spacing) {
+    const auto elapsed = aNow - mReportedAt;
+    const bool isHeartbeat = elapsed >= kHeartbeatInterval;
+    const bool isDue = isRoomAgain || elapsed >= spacing;
+    if (isHeartbeat || (isDue && mReportBudget.has(reportBytes(), aNow))) {
       report(aNow);
     }
   }
 
+  /** Bytes on the wire of one report to every watcher, about. */
+  double reportBytes() const
+  {
+    constexpr double kReportBytes = 80;
+    return kReportBytes * static_cast<double>(mWatchers.size());
+  }
+
   void report(Core::TimePoint aNow)
   {
+    mReportBudget.take(reportBytes(), aNow);
     mReported = mOwnerSide.load(aNow);
     mReportedAt = aNow;
     Messages::PeerMessage message;
@@ -417,6 +431,7 @@
   Core::TimePoint mTickedAt;
   Core::TimePoint mNow{};
   std::uint64_t mReportSequence = 0;
+  ByteBudget mReportBudget{ kReportBytesPerSecond };
 };
 
 } // namespace Ownership
--- a/src/libs/ownership/flowtable.h
+++ b/src/libs/ownership/flowtable.h
@@ -28,6 +28,8 @@
   std::uint32_t backendSequence = 0;
   std::uint16_t classIndex = 0;
   std::uint16_t memberIndex = 0;
+  /** Owner notices sent to balancers so far. */
+  std::uint16_t notices = 0;
   FlowState state = FlowState::HalfOpen;
   bool isBackendSequenceKnown = false;
   bool isCallerDone = false;
--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -121,13 +121,13 @@
     }
     entry->lastPacketAt = aNow;
     if (aArrival.needsClaim()) {
-      return deliverOnce(aArrival);
+      return deliverOnce(aArrival, *entry);
     }
     if (aArrival.isUdp() && !reopenUdp(aArrival, *entry, aNow)) {
       return Delivery::Delivered;
     }
     noteCallerPacket(aArrival.packet, *entry);
-    deliver(aArrival);
+    deliver(aArrival, *entry);
     return Delivery::Delivered;
   }
 
@@ -222,6 +222,8 @@
 private:
   /** A handshake that takes longer holds no room. */
   static constexpr std::chrono::seconds kHandshakeTimeout{ 3 };
+  /** With more balancers a flow seldom meets the same one again. */
+  static constexpr std::size_t kFewBalancers = 16;
   /** Ended flows still pass the last acknowledgments on. */
   static constexpr std::chrono::seconds kLinger{ 2 };
   /** A backend server that leaves an opening packet unanswered is sick. */
@@ -294,7 +296,7 @@
     entry.memberIndex = member;
     entry.state = aArrival.isUdp() ? FlowState::Open : FlowState::HalfOpen;
     mUsage.take(serviceClass.occupies, member);
-    mFlows.insert(aArrival.flow, entry);
+    auto& kept = mFlows.insert(aArrival.flow, entry);
     mContext.counters.increment(AgentCounter::FlowsAdmitted);
     if (aArrival.needsClaim()) {
       mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload());
@@ -304,17 +306,30 @@
     if (!aArrival.isUdp() && isFirst) {
       mUnansweredSince = aNow;
     }
-    deliver(aArrival);
+    deliver(aArrival, kept);
   }
 
-  void deliver(const Arrival& aArrival)
+  void deliver(const Arrival& aArrival, OwnedFlow& aEntry)
   {
     mContext.port.deliver(aArrival.packet.bytes());
     mContext.counters.increment(AgentCounter::PacketsDelivered);
-    sendNotices(aArrival);
+    sendNotices(aArrival, aEntry);
   }
 
-  void sendNotices(const Arrival& aArrival)
+  /**
+   * The first notice of a flow also tells that its home is alive. More are
+   * worth their bytes only while packets come back to the same balancers.
+   */
+  bool isNoticeWanted(const Arrival& aArrival, const OwnedFlow& aEntry) const
+  {
+    const auto balancers = mContext.views.current()->balancerCount();
+    const bool isLearning =
+      balancers <= kFewBalancers && aEntry.notices < UINT16_MAX;
+    return aArrival.header.wantsNotice &&
+           (aArrival.mayOpen() || aEntry.notices == 0 || isLearning);
+  }
+
+  void sendNotices(const Arrival& aArrival, OwnedFlow& aEntry)
   {
     const auto& header = aArrival.header;
     Messages::PeerMessage message;
@@ -323,7 +338,8 @@
     notice.set_owner(mContext.self.target);
     notice.set_home(header.home == 0 ? mContext.self.target : header.home);
     notice.set_revision(mContext.views.current()->revision());
-    if (header.wantsNotice) {
+    if (isNoticeWanted(aArrival, aEntry)) {
+      ++aEntry.notices;
       mContext.sendMessage(header.origin, message);
     }
     const bool wasSearched =
@@ -333,14 +349,14 @@
     }
   }
 
-  Delivery deliverOnce(const Arrival& aArrival)
+  Delivery deliverOnce(const Arrival& aArrival, OwnedFlow& aEntry)
   {
     if (mExchanges.noteRequest(aArrival.flow, aArrival.packet.payload())) {
-      deliver(aArrival);
+      deliver(aArrival, aEntry);
       return Delivery::Delivered;
     }
     mContext.counters.increment(AgentCounter::DuplicatesSuppressed);
-    sendNotices(aArrival);
+    sendNotices(aArrival, aEntry);
     const auto& answer = mExchanges.answer(aArrival.flow);
     if (!answer.empty()) {
       mContext.port.sendToCaller(answer);
--- a/src/libs/routing/fleetview.h
+++ b/src/libs/routing/fleetview.h
@@ -69,6 +69,7 @@
   const ServiceView* serviceOfTarget(Config::Identity aTarget) const;
   /** Null when the target is not in the document. */
   const TargetPlace* findTarget(Config::Identity aTarget) const;
+  std::size_t balancerCount() const { return mBalancerZones.size(); }
   /** Zone of the balancer at a data endpoint; empty when not listed. */
   absl::string_view zoneOfBalancer(const Core::Endpoint& aEndpoint) const;
 
--- a/tests/auto/control/tst_control.cpp
+++ b/tests/auto/control/tst_control.cpp
@@ -1,8 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include "compression/textcodec.h"
 #include "control/peerchoice.h"
-#include "control/textcodec.h"
 #include "control/viewstore.h"
 #include "messages/peermessages.pb.h"
 
@@ -14,6 +14,7 @@
 #include <set>
 #include <sstream>
 
+using namespace Compression;
 using namespace Control;
 
 namespace {
@@ -48,6 +49,7 @@
   request.set_revision(state.revision);
   request.set_digest(state.digest);
   request.set_list_index(state.listIndex);
+  request.set_list_digest(state.listDigest);
   return aAsker.accept(aAnswerer.answer(request));
 }
 
@@ -81,6 +83,47 @@
   CHECK_FALSE(decompressText("not a frame").ok());
 }
 
+TEST_CASE("a compressed document comes into force with the plain text's digest")
+{
+  ViewStore store(quietLog());
+  const auto text = document(3);
+  REQUIRE(store.offerDocument(*compressText(text), "t").ok());
+  CHECK(store.state().revision == 3);
+  CHECK(store.state().digest == Config::digestOf(text));
+  CHECK_FALSE(store.offerDocument("\x28\xb5\x2f\xfd cut", "t").ok());
+}
+
+TEST_CASE("an instance list goes on as a difference")
+{
+  const auto list = [](const char* aState) {
+    std::string text = "{\"instances\":[";
+    for (int i = 0; i < 200; ++i) {
+      absl::StrAppend(&text,
+                      i == 0 ? "" : ",",
+                      "{\"name\":\"t",
+                      i,
+                      "\",\"role\":\"target\",\"zone\":\"z\",\"data\":"
+                      "\"127.0.0.1:1\",\"control\":\"127.0.0.1:2\","
+                      "\"state\":\"",
+                      i == 7 ? aState : "live",
+                      "\"}");
+    }
+    return text + "]}";
+  };
+  ViewStore source(quietLog());
+  ViewStore peer(quietLog());
+  REQUIRE(source.offerInstanceList(list("live"), 1, "t").ok());
+  REQUIRE(exchange(peer, source).ok());
+  REQUIRE(source.offerInstanceList(list("leaving"), 2, "t").ok());
+  Messages::ViewRequest request;
+  request.set_list_index(1);
+  request.set_list_digest(peer.state().listDigest);
+  CHECK(source.answer(request).instance_list().size() < 100);
+  REQUIRE(exchange(peer, source).ok());
+  CHECK(peer.state().listIndex == 2);
+  CHECK(peer.instances().instances[7].leaving);
+}
+
 TEST_CASE("the newest revision wins and nothing goes back")
 {
   ViewStore store(quietLog());
--- a/tests/bench/datapathbench.cpp
+++ b/tests/bench/datapathbench.cpp
@@ -2,6 +2,8 @@
 
 #include "balancing/ownercache.h"
 #include "core/systemclock.h"
+#include "messages/flowid.h"
+#include "messages/peermessages.pb.h"
 #include "ownership/flowtable.h"
 #include "routing/fleetview.h"
 #include "routing/flowhasher.h"
@@ -87,6 +89,45 @@
   return info.uordblks + info.hblkhd;
 }
 
+/** With GUE, UDP and IPv4 around it. */
+std::size_t
+wireBytes(const Messages::PeerMessage& aMessage)
+{
+  constexpr std::size_t kHeaderBytes = 4 + 8 + 20;
+  return kHeaderBytes + aMessage.ByteSizeLong();
+}
+
+std::size_t
+reportBytes()
+{
+  Messages::PeerMessage message;
+  auto& report = *message.mutable_load_report();
+  report.set_target(~0ULL);
+  report.set_incarnation(1'800'000'000'000'000'000);
+  report.set_revision(100'000);
+  report.set_slots_in_use(5);
+  report.set_slots(7);
+  report.set_connections_in_use(1'077);
+  report.set_connections(2'000);
+  report.set_assignments_seen(1'000'000);
+  report.set_complete(true);
+  report.set_sequence(1'000'000);
+  return wireBytes(message);
+}
+
+std::size_t
+noticeBytes()
+{
+  Messages::PeerMessage message;
+  auto& notice = *message.mutable_owner_notice();
+  Messages::writeFlow({ { ~0U, 60'000 }, { ~0U, 443 }, Packet::Protocol::Tcp },
+                      *notice.mutable_flow());
+  notice.set_owner(~0ULL);
+  notice.set_home(~0ULL);
+  notice.set_revision(100'000);
+  return wireBytes(message);
+}
+
 } // namespace
 
 Records
@@ -121,6 +162,12 @@
                       static_cast<double>(heapBytes() - afterCache) / kFlows,
                       "bytes",
                       128 });
+  records.push_back({ "load report, bytes on the wire",
+                      static_cast<double>(reportBytes()),
+                      "bytes" });
+  records.push_back({ "owner notice, bytes on the wire",
+                      static_cast<double>(noticeBytes()),
+                      "bytes" });
   return records;
 }
 
