--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -4,14 +4,15 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace Steering {
 
 namespace {
 
 constexpr std::uint8_t kMagic = 0x4C;
-constexpr std::uint8_t kMustTake = 0x01;
 constexpr std::uint8_t kWantsNotice = 0x02;
 constexpr std::uint8_t kLongFlow = 0x04;
 constexpr std::uint8_t kUnavailable = 0x08;
@@ -21,13 +22,21 @@
 flagsOf(const AgentMessage& aMessage)
 {
   std::uint8_t flags = 0;
-  flags |= aMessage.mustTake ? kMustTake : 0;
   flags |= aMessage.wantsNotice ? kWantsNotice : 0;
   flags |= aMessage.isLongFlow ? kLongFlow : 0;
   flags |= aMessage.load.isUnavailable ? kUnavailable : 0;
   return flags;
 }
 
+/** Longer times are cut: a minute is as good as for ever. */
+std::uint16_t
+narrow(std::chrono::milliseconds aTime)
+{
+  constexpr std::int64_t kMost = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(
+    std::clamp<std::int64_t>(aTime.count(), 0, kMost));
+}
+
 bool
 isKnown(std::uint8_t aKind, std::uint8_t aReason)
 {
@@ -50,7 +59,8 @@
   Packet::store16(&head[8], slots);
   Packet::store16(&head[10], load.inProgress);
   Packet::store16(&head[12], load.longFlows);
-  Packet::store16(&head[14], load.serviceMilliseconds);
+  Packet::store16(&head[14], narrow(load.serviceTime));
+  Packet::store16(&head[16], narrow(allowedWait));
   aBuffer.insert(aBuffer.end(), head.begin(), head.end());
 }
 
@@ -69,14 +79,15 @@
   AgentMessage message;
   message.kind = static_cast<MessageKind>(aData[1]);
   message.reason = static_cast<HandBackReason>(aData[3]);
-  message.mustTake = (flags & kMustTake) != 0;
   message.wantsNotice = (flags & kWantsNotice) != 0;
   message.isLongFlow = (flags & kLongFlow) != 0;
   message.serviceTag = Packet::load32(&aData[4]);
   message.slots = Packet::load16(&aData[8]);
   message.load.inProgress = Packet::load16(&aData[10]);
   message.load.longFlows = Packet::load16(&aData[12]);
-  message.load.serviceMilliseconds = Packet::load16(&aData[14]);
+  message.load.serviceTime =
+    std::chrono::milliseconds(Packet::load16(&aData[14]));
+  message.allowedWait = std::chrono::milliseconds(Packet::load16(&aData[16]));
   message.load.isUnavailable = (flags & kUnavailable) != 0;
   return message;
 }
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 #include <absl/types/span.h>
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -50,8 +51,8 @@
   std::uint16_t inProgress = 0;
   /** Flows that stay open for many requests. */
   std::uint16_t longFlows = 0;
-  /** Mean time to answer a request, in milliseconds. */
-  std::uint16_t serviceMilliseconds = 0;
+  /** Mean time to answer a request. */
+  std::chrono::milliseconds serviceTime{ 0 };
   /** True while the backend server should get no new flow. */
   bool isUnavailable = false;
 };
@@ -62,12 +63,10 @@
  */
 struct AgentMessage
 {
-  static constexpr std::size_t kBytes = 16;
+  static constexpr std::size_t kBytes = 18;
 
   MessageKind kind = MessageKind::Probe;
   HandBackReason reason = HandBackReason::None;
-  /** Forward: the agent may not hand a new flow back for its load. */
-  bool mustTake = false;
   /** Forward: the balancer does not know for sure who holds the flow. */
   bool wantsNotice = false;
   /** Forward: the flow is of a class that keeps flows open. */
@@ -76,6 +75,8 @@
   std::uint32_t serviceTag = 0;
   /** Forward: slots of the backend server as the balancer knows them. */
   std::uint16_t slots = 0;
+  /** Forward: how long a new flow may wait for a slot, up to a minute. */
+  std::chrono::milliseconds allowedWait{ 0 };
   /** All messages of an agent. */
   ReportedLoad load;
 
--- a/src/libs/steering/flowmemory.h
+++ b/src/libs/steering/flowmemory.h
@@ -39,8 +39,8 @@
   Core::Endpoint agent;
   /** Agents that cannot have the flow, or did not answer for it. */
   AgentList declined;
-  /** Agents that had no free slot for it. */
-  AgentList full;
+  /** How often an agent had no room for it since it last waited. */
+  int turnedAway = 0;
   absl::InlinedVector<Offer, 1> offers;
   Core::TimePoint lastPacketAt{};
   /** When every agent had declined for the first time; null for never. */
--- /dev/null
+++ b/src/libs/steering/openingside.h
@@ -0,0 +1,303 @@
+#pragma once
+
+#include "steering/pendingopenings.h"
+#include "steering/steerercontext.h"
+#include "steering/targetselection.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Steering {
+
+/**
+ * Places new flows: answers a burst, the silence of a target, and the return
+ * of a whole fleet. A new flow goes to a target with a free slot; else to one
+ * where it waits so little that its answer can still be in time; else it waits
+ * here, and the newest leave first, since the others are late already.
+ */
+template<PacketFormat Format, SteererPort Port>
+class OpeningSide
+{
+public:
+  using PacketType = typename Format::Packet;
+
+  /** Waiting openings are tried again so often, and when a target has room. */
+  static constexpr std::chrono::milliseconds kRetryInterval{ 20 };
+  /**
+   * A new flow may queue at a target for this part of its latency objective;
+   * the rest is for the way and the work itself.
+   */
+  static constexpr int kQueueShare = 3;
+  /** So many targets turn one opening away before it waits. */
+  static constexpr int kMostTries = 8;
+
+  explicit OpeningSide(SteererContext<Format, Port>& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  /** Handles the opening packet of a flow, or a copy of it. */
+  void handle(const PacketType& aPacket,
+              const Packet::FlowKey& aFlow,
+              Core::TimePoint aNow)
+  {
+    auto* known = mContext.flows.find(aFlow);
+    if (known != nullptr && (known->isConfirmed || known->isEstablished)) {
+      known->lastPacketAt = aNow;
+      const auto* route = mContext.findRoute(aFlow);
+      mContext.forward(aPacket, *route, *known, route->timeout);
+      return;
+    }
+    auto* pending = mPending.find(aFlow);
+    if (pending == nullptr) {
+      pending = mPending.add(aFlow, aPacket.bytes(), aNow);
+      if (pending == nullptr) {
+        mContext.counters.increment(SteeringCounter::OpeningsDropped);
+        return;
+      }
+    } else {
+      mContext.counters.increment(SteeringCounter::OpeningsRepeated);
+      if (pending->isWaiting()) {
+        return;
+      }
+      leaveSilent(*pending, aNow);
+    }
+    place(*pending, aNow);
+  }
+
+  /** An agent handed an opening packet back. */
+  void handleBack(const Packet::FlowKey& aFlow,
+                  const Core::Endpoint& aFrom,
+                  HandBackReason aReason,
+                  Core::TimePoint aNow)
+  {
+    auto& memory = memoryOf(aFlow, aNow);
+    if (aReason == HandBackReason::Full) {
+      mContext.counters.increment(SteeringCounter::FlowsTurnedAway);
+      ++memory.turnedAway;
+    } else {
+      memory.declined.add(aFrom);
+    }
+    auto* pending = mPending.find(aFlow);
+    if (pending == nullptr || pending->agent != aFrom) {
+      // It was answered, or sent elsewhere, in the meantime.
+      return;
+    }
+    pending->agent = {};
+    place(*pending, aNow);
+  }
+
+  /** A target answered the opening, or the caller goes on. */
+  void noteAnswered(const Packet::FlowKey& aFlow) { mPending.erase(aFlow); }
+
+  /** Tries what waits again, after a new map or a report. */
+  void retryWaiting(Core::TimePoint aNow)
+  {
+    mRetriedAt = aNow;
+    absl::flat_hash_set<const Service*> full;
+    for (const auto& flow : mPending.waiting(kFreshTime, aNow)) {
+      auto* pending = mPending.find(flow);
+      const auto* service = serviceOf(flow);
+      if (pending == nullptr || full.contains(service)) {
+        continue;
+      }
+      place(*pending, aNow);
+      pending = mPending.find(flow);
+      if (pending != nullptr && pending->isWaiting()) {
+        full.insert(service);
+      }
+    }
+  }
+
+  void tick(Core::TimePoint aNow)
+  {
+    if (mPending.isEmpty()) {
+      return;
+    }
+    expire(aNow);
+    for (const auto& flow :
+         mPending.unanswered(LoadTable::kAnswerTimeout, aNow)) {
+      auto* pending = mPending.find(flow);
+      leaveSilent(*pending, aNow);
+      place(*pending, aNow);
+    }
+    if (aNow - mRetriedAt >= kRetryInterval) {
+      retryWaiting(aNow);
+    }
+  }
+
+  /** When tick() is due; nothing while nothing is pending. */
+  std::optional<std::chrono::milliseconds> timeToTick() const
+  {
+    if (mPending.isEmpty()) {
+      return std::nullopt;
+    }
+    return kRetryInterval;
+  }
+
+  bool hasWaiting() const { return mPending.waitingCount() > 0; }
+
+private:
+  /** Openings that are older cannot be answered in time any more. */
+  static constexpr std::chrono::milliseconds kFreshTime{ 250 };
+
+  RememberedFlow& memoryOf(const Packet::FlowKey& aFlow, Core::TimePoint aNow)
+  {
+    auto* known = mContext.flows.find(aFlow);
+    return known != nullptr ? *known : mContext.flows.insert(aFlow, aNow);
+  }
+
+  const Service* serviceOf(const Packet::FlowKey& aFlow) const
+  {
+    const auto* route = mContext.findRoute(aFlow);
+    if (route == nullptr) {
+      return nullptr;
+    }
+    return &mContext.map->services()[selectService(*route, flowHash(aFlow))];
+  }
+
+  /** The agent that got the opening does not answer; another is tried. */
+  void leaveSilent(PendingOpening& aPending, Core::TimePoint aNow)
+  {
+    if (mContext.loads.isSuspected(aPending.agent, aNow)) {
+      mContext.counters.increment(SteeringCounter::TargetsSuspected);
+    }
+    memoryOf(aPending.flow, aNow).declined.add(aPending.agent);
+    aPending.agent = {};
+  }
+
+  /** Sends an opening to the best target, or lets it wait, or refuses it. */
+  void place(PendingOpening& aPending, Core::TimePoint aNow)
+  {
+    if (mContext.map == nullptr) {
+      return;
+    }
+    const auto packet = Format::parse(aPending.packet);
+    const auto flow = aPending.flow;
+    const auto* route = mContext.findRoute(flow);
+    if (route == nullptr) {
+      if (mContext.isMapCurrent) {
+        mContext.resetUnknown(*packet, "no route");
+      }
+      mPending.erase(flow);
+      return;
+    }
+    auto& memory = memoryOf(flow, aNow);
+    const auto hash = flowHash(flow);
+    const auto& service = mContext.map->services()[selectService(*route, hash)];
+    collectCandidates(service, memory, aNow);
+    const bool isRefusedByAll = mCandidates.empty() &&
+                                memory.declined.size() > 0 &&
+                                isDeclinedByAll(service, memory, aNow);
+    if (isRefusedByAll) {
+      refuse(*packet, flow, service);
+      return;
+    }
+    if (memory.turnedAway < kMostTries) {
+      send(aPending, *packet, *route, memory, hash, aNow);
+    }
+    memory.turnedAway = aPending.isWaiting() ? 0 : memory.turnedAway;
+  }
+
+  void send(PendingOpening& aPending,
+            const PacketType& aPacket,
+            const Route& aRoute,
+            RememberedFlow& aMemory,
+            std::uint64_t aHash,
+            Core::TimePoint aNow)
+  {
+    const auto* chosen = selectTarget(mCandidates, aRoute.habit, aHash);
+    auto allowedWait = std::chrono::milliseconds(0);
+    if (chosen != nullptr && expectedWait(*chosen) > allowedWait) {
+      chosen = selectTarget(mCandidates, FlowHabit::OneRequest, aHash);
+    }
+    if (chosen != nullptr && expectedWait(*chosen) > allowedWait) {
+      allowedWait = aRoute.latencyObjective / kQueueShare;
+    }
+    if (chosen == nullptr || expectedWait(*chosen) > allowedWait) {
+      return;
+    }
+    aMemory.agent = chosen->target->agent;
+    aPending.agent = aMemory.agent;
+    aPending.sentAt = aNow;
+    auto& counters = mContext.counters;
+    counters.increment(SteeringCounter::FlowsChosen);
+    counters.increment(SteeringCounter::FlowsAcrossZones,
+                       chosen->isOwnZone ? 0 : 1);
+    mContext.loads.noteAsked(aMemory.agent, aNow);
+    mContext.loads.noteFlow(aMemory.agent,
+                            aRoute.habit == FlowHabit::ManyRequests);
+    mContext.forward(aPacket, aRoute, aMemory, allowedWait);
+  }
+
+  void collectCandidates(const Service& aService,
+                         const RememberedFlow& aMemory,
+                         Core::TimePoint aNow)
+  {
+    mCandidates.clear();
+    for (const auto& target : aService.targets) {
+      const bool isOut = !target.takesNewFlows(aNow) ||
+                         aMemory.declined.contains(target.agent) ||
+                         !mContext.loads.isUsable(target.agent, aNow);
+      if (!isOut) {
+        mCandidates.push_back({ &target,
+                                &mContext.loads.find(target.agent),
+                                target.zone == mContext.self.zone,
+                                target.warmUntil <= aNow });
+      }
+    }
+  }
+
+  /** Each target that may take new flows was asked and declined. */
+  static bool isDeclinedByAll(const Service& aService,
+                              const RememberedFlow& aMemory,
+                              Core::TimePoint aNow)
+  {
+    for (const auto& target : aService.targets) {
+      if (target.takesNewFlows(aNow) &&
+          !aMemory.declined.contains(target.agent)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void refuse(const PacketType& aPacket,
+              const Packet::FlowKey& aFlow,
+              const Service& aService)
+  {
+    mContext.counters.increment(SteeringCounter::FlowsRefused);
+    mContext.events.write(Telemetry::Event::FlowRefused,
+                          absl::StrCat(Packet::formatFlowKey(aFlow),
+                                       " service ",
+                                       aService.name,
+                                       ": no target takes it"));
+    mContext.sendReset(aPacket);
+    mContext.flows.erase(aFlow);
+    mPending.erase(aFlow);
+  }
+
+  /** The callers have ended these attempts. */
+  void expire(Core::TimePoint aNow)
+  {
+    for (const auto& it : mPending.takeExpired(aNow)) {
+      mContext.counters.increment(SteeringCounter::OpeningsExpired);
+      mContext.events.write(Telemetry::Event::OpeningExpired,
+                            absl::StrCat(Packet::formatFlowKey(it.flow),
+                                         it.isWaiting()
+                                           ? ": no target had room"
+                                           : ": its target did not answer"));
+    }
+  }
+
+  SteererContext<Format, Port>& mContext;
+  PendingOpenings mPending;
+  std::vector<Candidate> mCandidates;
+  Core::TimePoint mRetriedAt{};
+};
+
+} // namespace Steering
--- /dev/null
+++ b/src/libs/steering/searchside.h
@@ -0,0 +1,153 @@
+#pragma once
+
+#include "steering/steerercontext.h"
+#include "steering/targetselection.h"
+
+#include <chrono>
+
+namespace Steering {
+
+/**
+ * Finds the owner of a flow that a balancer does not know, by asking one agent
+ * after the other. All packets of a flow share one search.
+ */
+template<PacketFormat Format, SteererPort Port>
+class SearchSide
+{
+public:
+  using PacketType = typename Format::Packet;
+
+  /**
+   * A flow that nobody holds is reset when a second search so much later ends
+   * in the same way. A balancer in touch hears of a new target within the
+   * quarter of a second that its watch gathers changes; twice that is sure.
+   */
+  static constexpr std::chrono::milliseconds kSearchAgainAfter{ 500 };
+
+  explicit SearchSide(SteererContext<Format, Port>& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  /** Handles a packet of a flow beyond its opening. */
+  void handle(const PacketType& aPacket,
+              const Packet::FlowKey& aFlow,
+              const Route& aRoute,
+              Core::TimePoint aNow)
+  {
+    auto* known = mContext.flows.find(aFlow);
+    if (known == nullptr) {
+      if (!aPacket.isReset()) {
+        begin(aPacket, aFlow, aRoute, aNow);
+      }
+      return;
+    }
+    known->lastPacketAt = aNow;
+    if (!std::exchange(known->isEstablished, true)) {
+      adoptOffer(*known, aPacket.acknowledgment());
+    }
+    const bool isLost =
+      !known->isConfirmed && mContext.loads.isSuspected(known->agent, aNow);
+    if (known->agent.isNull() || isLost ||
+        mContext.map->findTarget(known->agent) == nullptr) {
+      known->declined.add(known->agent);
+      askNext(aPacket, aFlow, aRoute, *known, aNow);
+      return;
+    }
+    mContext.forward(aPacket, aRoute, *known);
+  }
+
+  /** An agent handed a packet of an open flow back. */
+  void handleBack(const PacketType& aPacket,
+                  const Packet::FlowKey& aFlow,
+                  const Route& aRoute,
+                  const Core::Endpoint& aFrom,
+                  Core::TimePoint aNow)
+  {
+    auto* known = mContext.flows.find(aFlow);
+    auto& memory =
+      known != nullptr ? *known : mContext.flows.insert(aFlow, aNow);
+    memory.isEstablished = true;
+    const bool isElsewhere = !memory.agent.isNull() && memory.agent != aFrom;
+    if (isElsewhere) {
+      mContext.forward(aPacket, aRoute, memory);
+      return;
+    }
+    memory.declined.add(aFrom);
+    askNext(aPacket, aFlow, aRoute, memory, aNow);
+  }
+
+private:
+  void begin(const PacketType& aPacket,
+             const Packet::FlowKey& aFlow,
+             const Route& aRoute,
+             Core::TimePoint aNow)
+  {
+    mContext.counters.increment(SteeringCounter::FlowsSearched);
+    auto& memory = mContext.flows.insert(aFlow, aNow);
+    memory.isEstablished = true;
+    askNext(aPacket, aFlow, aRoute, memory, aNow);
+  }
+
+  /** Several backend servers may have answered; the caller chose one. */
+  static void adoptOffer(RememberedFlow& aMemory, std::uint32_t aAcknowledgment)
+  {
+    for (const auto& offer : aMemory.offers) {
+      if (offer.sequence + 1 == aAcknowledgment) {
+        aMemory.agent = offer.agent;
+        aMemory.isConfirmed = true;
+      }
+    }
+  }
+
+  void askNext(const PacketType& aPacket,
+               const Packet::FlowKey& aFlow,
+               const Route& aRoute,
+               RememberedFlow& aMemory,
+               Core::TimePoint aNow)
+  {
+    aMemory.isConfirmed = false;
+    aMemory.agent = {};
+    const auto order =
+      searchOrder(*mContext.map, aRoute, mContext.self.zone, flowHash(aFlow));
+    bool isAnySuspected = false;
+    for (const auto* target : order) {
+      if (mContext.loads.isSuspected(target->agent, aNow)) {
+        isAnySuspected = true;
+        continue;
+      }
+      if (!aMemory.declined.contains(target->agent)) {
+        aMemory.agent = target->agent;
+        mContext.loads.noteAsked(aMemory.agent, aNow);
+        mContext.forward(aPacket, aRoute, aMemory);
+        return;
+      }
+    }
+    mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
+    noteExhausted(aPacket, aFlow, aMemory, isAnySuspected, aNow);
+  }
+
+  /** Every agent that answers has declined. */
+  void noteExhausted(const PacketType& aPacket,
+                     const Packet::FlowKey& aFlow,
+                     RememberedFlow& aMemory,
+                     bool aIsAnySuspected,
+                     Core::TimePoint aNow)
+  {
+    aMemory.declined.clear();
+    if (aMemory.exhaustedAt == Core::TimePoint{}) {
+      aMemory.exhaustedAt = aNow;
+      return;
+    }
+    const bool isSure = mContext.isMapCurrent && !aIsAnySuspected &&
+                        aNow - aMemory.exhaustedAt >= kSearchAgainAfter;
+    if (isSure) {
+      mContext.resetUnknown(aPacket, "no target holds the flow");
+      mContext.flows.erase(aFlow);
+    }
+  }
+
+  SteererContext<Format, Port>& mContext;
+};
+
+} // namespace Steering
--- /dev/null
+++ b/src/libs/steering/steerercontext.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "steering/agentmessage.h"
+#include "steering/fleetmap.h"
+#include "steering/flowmemory.h"
+#include "steering/loadtable.h"
+#include "steering/packetformat.h"
+#include "steering/steeringcounters.h"
+
+#include "telemetry/eventlog.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/types/span.h>
+
+#include <chrono>
+#include <concepts>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Steering {
+
+/** Where a balancer's datagrams go. */
+template<typename T>
+concept SteererPort = requires(T& aPort,
+                               const Core::Endpoint& aTo,
+                               absl::Span<const std::uint8_t> aData)
+{
+  /** One message to an agent. */
+  aPort.sendToAgent(aTo, aData);
+  /** One packet to a caller. */
+  aPort.sendToCaller(aTo, aData);
+};
+
+/** Who a balancer is. */
+struct SteererIdentity
+{
+  std::string zone;
+};
+
+/** What the parts of a balancer's decisions share. Used by one thread. */
+template<PacketFormat Format, SteererPort Port>
+class SteererContext
+{
+public:
+  using PacketType = typename Format::Packet;
+
+  SteererContext(Port& aPort,
+                 SteererIdentity aSelf,
+                 Telemetry::EventLog& aEvents)
+    : port(aPort)
+    , self(std::move(aSelf))
+    , events(aEvents)
+  {
+  }
+
+  /** Null without a map or for an address of no route. */
+  const Route* findRoute(const Packet::FlowKey& aFlow) const
+  {
+    return map == nullptr ? nullptr : map->findRoute(aFlow.service);
+  }
+
+  /**
+   * Sends a packet to the agent that the memory names. A new flow may wait
+   * aAllowedWait for a slot; an open one is not asked.
+   */
+  void forward(const PacketType& aPacket,
+               const Route& aRoute,
+               const RememberedFlow& aMemory,
+               std::chrono::milliseconds aAllowedWait = {})
+  {
+    const auto* target = map->findTarget(aMemory.agent);
+    if (target == nullptr) {
+      counters.increment(SteeringCounter::PacketsWithoutTarget);
+      return;
+    }
+    AgentMessage message;
+    message.kind = MessageKind::Forward;
+    message.wantsNotice = !aMemory.isConfirmed;
+    message.isLongFlow = aRoute.habit == FlowHabit::ManyRequests;
+    message.serviceTag = map->serviceOf(aMemory.agent).tag;
+    message.slots = static_cast<std::uint16_t>(target->slots);
+    message.allowedWait = aAllowedWait;
+    mBuffer.clear();
+    message.appendTo(mBuffer);
+    const auto bytes = aPacket.bytes();
+    mBuffer.insert(mBuffer.end(), bytes.begin(), bytes.end());
+    port.sendToAgent(aMemory.agent, mBuffer);
+    counters.increment(SteeringCounter::PacketsForwarded);
+  }
+
+  void sendProbe(const Core::Endpoint& aAgent)
+  {
+    mBuffer.clear();
+    AgentMessage message;
+    message.kind = MessageKind::Probe;
+    message.appendTo(mBuffer);
+    port.sendToAgent(aAgent, mBuffer);
+  }
+
+  /** Tells the caller that the flow does not exist, or has not run. */
+  void sendReset(const PacketType& aPacket)
+  {
+    const auto bytes = Format::buildReset(aPacket);
+    port.sendToCaller(aPacket.flowToService().caller, bytes);
+  }
+
+  /** Resets a flow that exists nowhere. */
+  void resetUnknown(const PacketType& aPacket, const char* aWhy)
+  {
+    counters.increment(SteeringCounter::FlowsReset);
+    events.write(
+      Telemetry::Event::FlowNotFound,
+      absl::StrCat(Packet::formatFlowKey(aPacket.flowToService()), ": ", aWhy));
+    sendReset(aPacket);
+  }
+
+  Port& port;
+  SteererIdentity self;
+  Telemetry::EventLog& events;
+  FleetMapPointer map;
+  /** The map is known to be the newest. */
+  bool isMapCurrent = false;
+  FlowMemory flows;
+  LoadTable loads;
+  SteeringCounters counters;
+
+private:
+  std::vector<std::uint8_t> mBuffer;
+};
+
+} // namespace Steering
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -27,6 +27,8 @@
   FlowsTurnedAway,
   OpeningsRepeated,
   OpeningsUnanswered,
+  OpeningsDropped,
+  OpeningsExpired,
   WrongService,
   TargetsSuspected,
   OwnerNotices,
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -173,6 +173,8 @@
     Core::TimePoint seenAt{};
     Core::TimePoint reportedAt{};
     ReportedLoad reported;
+    /** It was turned away since it last heard of room. */
+    bool isWaiting = false;
   };
 
   /** An opening packet that the backend server has not answered yet. */
@@ -193,6 +195,9 @@
     if (!isKnown) {
       const auto reason = reasonAgainst(aMessage, aNow);
       if (reason != HandBackReason::None) {
+        if (reason == HandBackReason::Full) {
+          balancerOf(aFrom, aNow).isWaiting = true;
+        }
         handBack(aFrom, aPacket, reason);
         return;
       }
@@ -220,9 +225,8 @@
       mTriedAt = aNow;
       return HandBackReason::None;
     }
-    const bool isFull = mFlows.inProgress() >= mSlots;
-    return isFull && !aMessage.mustTake ? HandBackReason::Full
-                                        : HandBackReason::None;
+    const bool isFull = mFlows.expectedWait(mSlots) > aMessage.allowedWait;
+    return isFull ? HandBackReason::Full : HandBackReason::None;
   }
 
   void handleOngoing(const Core::Endpoint& aFrom,
@@ -231,15 +235,15 @@
                      Core::TimePoint aNow)
   {
     const auto key = aPacket.flowToService();
+    auto& flow = mFlows.touch(key, aNow);
+    flow.balancer = aFrom;
     if (aPacket.isReset()) {
-      mFlows.erase(key);
+      mFlows.noteEnd(flow);
       deliver(aFrom, aPacket);
       return;
     }
-    auto& flow = mFlows.touch(key, aNow);
-    flow.balancer = aFrom;
     if (aPacket.carriesData()) {
-      if (aMessage.isLongFlow) {
+      if (aMessage.isLongFlow && !flow.isEnded) {
         mFlows.noteOpening(flow, true, aNow);
       }
       mFlows.noteCallerData(flow, aPacket.sequence(), mSlots, aNow);
@@ -258,15 +262,16 @@
                         const Packet::FlowKey& aFlow,
                         Core::TimePoint aNow)
   {
+    auto& flow = mFlows.touch(aFlow, aNow);
     if (aPacket.isReset()) {
-      mFlows.erase(aFlow);
+      mFlows.noteEnd(flow);
       mOpenings.erase(aFlow);
       return;
     }
-    auto& flow = mFlows.touch(aFlow, aNow);
     flow.isHeld = true;
     if (aPacket.carriesData()) {
       mFlows.noteAnswer(flow, aNow);
+      tellNextWaiting();
     }
     if (aPacket.isAccepting()) {
       mOpenings.erase(aFlow);
@@ -276,7 +281,7 @@
       sendNotice(flow.balancer, aFlow, sequence);
     }
     if (aPacket.isClosing()) {
-      mFlows.erase(aFlow);
+      mFlows.noteEnd(flow);
     }
   }
 
@@ -382,6 +387,22 @@
     mCounters.increment(SteeringCounter::LoadReports);
   }
 
+  /** Tells one balancer that was turned away, in turn, of a free slot. */
+  void tellNextWaiting()
+  {
+    if (mFlows.inProgress() >= mSlots) {
+      return;
+    }
+    for (std::size_t i = 0; i < mBalancers.size(); ++i) {
+      mToldLast = (mToldLast + 1) % mBalancers.size();
+      auto& balancer = mBalancers[mToldLast];
+      if (std::exchange(balancer.isWaiting, false)) {
+        sendReport(balancer);
+        return;
+      }
+    }
+  }
+
   void reportChanges(Core::TimePoint aNow)
   {
     const auto active = std::count_if(
@@ -427,7 +448,7 @@
     const auto [it, isNew] =
       mTokens.try_emplace(endpointKey(aBalancer), mBalancers.size() + 1);
     if (isNew) {
-      mBalancers.push_back({ aBalancer, {}, {}, {} });
+      mBalancers.push_back({ aBalancer, {}, {}, {}, false });
     }
     return it->second;
   }
@@ -441,6 +462,7 @@
   std::vector<Balancer> mBalancers;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mTokens;
   std::uint32_t mSlots = 1;
+  std::size_t mToldLast = 0;
   int mUnanswered = 0;
   Core::TimePoint mTriedAt{};
   bool mIsLeaving = false;
--- a/src/libs/steering/targetgateflows.cpp
+++ b/src/libs/steering/targetgateflows.cpp
@@ -1,7 +1,10 @@
 #include "steering/targetgateflows.h"
 
+#include "steering/slotwait.h"
+
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace Steering {
 
@@ -45,6 +48,9 @@
                              bool aIsLong,
                              Core::TimePoint aNow)
 {
+  if (std::exchange(aFlow.isEnded, false)) {
+    aFlow.hasCallerData = false;
+  }
   if (aIsLong) {
     mLongFlows += aFlow.isLong ? 0 : 1;
     aFlow.isLong = true;
@@ -64,7 +70,7 @@
 {
   const bool isRepeated =
     aFlow.hasCallerData && !isAfter(aSequence, aFlow.lastCallerSequence);
-  if (isRepeated) {
+  if (isRepeated || aFlow.isEnded) {
     return;
   }
   aFlow.hasCallerData = true;
@@ -85,7 +91,7 @@
   if (aFlow.startedAtOnce) {
     const auto taken =
       std::chrono::duration<double, std::milli>(aNow - aFlow.requestAt);
-    mServiceMilliseconds += kSmoothing * (taken.count() - mServiceMilliseconds);
+    mServiceTime += kSmoothing * (taken - mServiceTime);
   }
   endRequest(aFlow);
 }
@@ -99,6 +105,14 @@
   }
 }
 
+void
+TargetGateFlows::noteEnd(GatedFlow& aFlow)
+{
+  endRequest(aFlow);
+  mLongFlows -= std::exchange(aFlow.isLong, false) ? 1 : 0;
+  aFlow.isEnded = true;
+}
+
 void
 TargetGateFlows::erase(const Packet::FlowKey& aFlow)
 {
@@ -106,8 +120,7 @@
   if (it == mFlows.end()) {
     return;
   }
-  endRequest(it->second);
-  mLongFlows -= it->second.isLong ? 1 : 0;
+  noteEnd(it->second);
   mFlows.erase(it);
 }
 
@@ -120,7 +133,8 @@
   mSweptAt = aNow;
   std::vector<Packet::FlowKey> idle;
   for (auto& [key, flow] : mFlows) {
-    if (aNow - flow.lastPacketAt >= kIdleTime) {
+    const auto idleTime = flow.isEnded ? kEndedTime : kIdleTime;
+    if (aNow - flow.lastPacketAt >= idleTime) {
       idle.push_back(key);
       continue;
     }
@@ -138,14 +152,23 @@
   }
 }
 
+std::chrono::milliseconds
+TargetGateFlows::expectedWait(std::uint32_t aSlots) const
+{
+  return waitForSlot(
+    mInProgress,
+    aSlots,
+    std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime));
+}
+
 ReportedLoad
 TargetGateFlows::load() const
 {
   ReportedLoad load;
   load.inProgress = narrow(mInProgress);
   load.longFlows = narrow(mLongFlows);
-  load.serviceMilliseconds =
-    narrow(static_cast<std::uint32_t>(mServiceMilliseconds));
+  load.serviceTime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime);
   return load;
 }
 
--- a/src/libs/steering/targetgateflows.h
+++ b/src/libs/steering/targetgateflows.h
@@ -29,6 +29,8 @@
   bool startedAtOnce = false;
   bool hasCallerData = false;
   bool wantsNotice = false;
+  /** The backend server closed or reset it; late packets count no more. */
+  bool isEnded = false;
 };
 
 /**
@@ -45,7 +47,11 @@
   static constexpr std::chrono::seconds kRequestLimit{ 10 };
   /** Backend servers close a flow that is idle for less. */
   static constexpr std::chrono::seconds kIdleTime{ 30 };
+  /** Copies of a flow's last packets come within two retransmissions. */
+  static constexpr std::chrono::seconds kEndedTime{ 4 };
   static constexpr std::chrono::seconds kSweepInterval{ 1 };
+  /** Taken for the time of a request until some were measured. */
+  static constexpr std::chrono::milliseconds kFirstServiceTime{ 50 };
 
   GatedFlow* find(const Packet::FlowKey& aFlow);
   GatedFlow& touch(const Packet::FlowKey& aFlow, Core::TimePoint aNow);
@@ -56,10 +62,14 @@
                       std::uint32_t aSlots,
                       Core::TimePoint aNow);
   void noteAnswer(GatedFlow& aFlow, Core::TimePoint aNow);
+  /** The backend server ended the flow. */
+  void noteEnd(GatedFlow& aFlow);
   void erase(const Packet::FlowKey& aFlow);
   void expire(Core::TimePoint aNow);
 
   std::uint32_t inProgress() const { return mInProgress; }
+  /** How long a new request would wait for one of so many slots. */
+  std::chrono::milliseconds expectedWait(std::uint32_t aSlots) const;
   ReportedLoad load() const;
   std::size_t size() const { return mFlows.size(); }
 
@@ -69,8 +79,8 @@
   absl::flat_hash_map<Packet::FlowKey, GatedFlow> mFlows;
   std::uint32_t mInProgress = 0;
   std::uint32_t mLongFlows = 0;
-  /** Smoothed time of requests that began at once, in milliseconds. */
-  double mServiceMilliseconds = 0;
+  /** Smoothed time of requests that began at once. */
+  std::chrono::duration<double, std::milli> mServiceTime{ kFirstServiceTime };
   Core::TimePoint mSweptAt{};
 };
 
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -1,5 +1,7 @@
 #include "steering/targetselection.h"
 
+#include "steering/slotwait.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -116,13 +118,12 @@
 expectedWait(const Candidate& aCandidate)
 {
   const auto& load = *aCandidate.load;
-  const auto slots = std::max<std::uint32_t>(aCandidate.target->slots, 1);
-  if (load.inProgress() < slots) {
-    return std::chrono::milliseconds(0);
-  }
-  const auto ahead = load.inProgress() - slots + 1;
-  return std::chrono::milliseconds(ahead * load.reported.serviceMilliseconds /
-                                   slots);
+  const auto wait = waitForSlot(
+    load.inProgress(), aCandidate.target->slots, load.reported.serviceTime);
+  return aCandidate.isWarm
+           ? wait
+           : std::chrono::duration_cast<std::chrono::milliseconds>(
+               wait * kWarmUpFactor);
 }
 
 std::vector<const Target*>
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -26,6 +26,7 @@
   FlowNotFound = 302,
   FlowRefused = 303,
   ClaimUnproven = 304,
+  OpeningExpired = 305,
   DrainStarted = 400,
   DrainFinished = 401,
   DrainDeadline = 402,
--- a/src/libs/telemetry/statusserver.cpp
+++ b/src/libs/telemetry/statusserver.cpp
@@ -15,6 +15,50 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kServerThreads = 2;
 
+using MakePage = std::function<std::string()>;
+
+void
+servePage(httplib::Server& aServer,
+          const std::string& aPath,
+          const MakePage& aMakePage,
+          const char* aType)
+{
+  if (aMakePage) {
+    aServer.Get(aPath,
+                [&aMakePage, aType](const auto&, httplib::Response& aResponse) {
+                  aResponse.set_content(aMakePage(), aType);
+                });
+  }
+}
+
+/** The pages must outlive the server. */
+void
+servePages(httplib::Server& aServer, const StatusPages& aPages)
+{
+  servePage(aServer, "/metrics", aPages.metrics, "text/plain; version=0.0.4");
+  servePage(aServer, "/status", aPages.status, "application/json");
+  servePage(aServer, "/histograms", aPages.histograms, "application/json");
+  aServer.Get("/healthz", [](const auto&, httplib::Response& aResponse) {
+    aResponse.set_content("ok\n", "text/plain");
+  });
+  if (aPages.isReady) {
+    aServer.Get(
+      aPages.readyPath, [&aPages](const auto&, httplib::Response& aResponse) {
+        const bool ready = aPages.isReady();
+        aResponse.status = ready ? kOk : kUnavailable;
+        aResponse.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+      });
+  }
+  for (const auto& page : aPages.more) {
+    aServer.Get(
+      page.path,
+      [&page](const httplib::Request& aRequest, httplib::Response& aResponse) {
+        aResponse.set_content(page.content(aRequest.get_param_value("after")),
+                              "application/json");
+      });
+  }
+}
+
 } // namespace
 
 class StatusServer::Private
@@ -35,25 +79,7 @@
   server.new_task_queue = [] {
     return new httplib::ThreadPool(kServerThreads);
   };
-  server.Get("/metrics", [&pages](const auto&, httplib::Response& aResponse) {
-    aResponse.set_content(pages.metrics(), "text/plain; version=0.0.4");
-  });
-  server.Get("/status", [&pages](const auto&, httplib::Response& aResponse) {
-    aResponse.set_content(pages.status(), "application/json");
-  });
-  server.Get("/histograms",
-             [&pages](const auto&, httplib::Response& aResponse) {
-               aResponse.set_content(pages.histograms(), "application/json");
-             });
-  server.Get("/healthz", [](const auto&, httplib::Response& aResponse) {
-    aResponse.set_content("ok\n", "text/plain");
-  });
-  server.Get(
-    pages.readyPath, [&pages](const auto&, httplib::Response& aResponse) {
-      const bool ready = pages.isReady();
-      aResponse.status = ready ? kOk : kUnavailable;
-      aResponse.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
-    });
+  servePages(server, pages);
   const auto peer = Core::formatEndpoint(aEndpoint);
   if (!server.bind_to_port(Core::formatAddress(aEndpoint.address),
                            aEndpoint.port)) {
--- a/src/libs/telemetry/statusserver.h
+++ b/src/libs/telemetry/statusserver.h
@@ -7,10 +7,22 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Telemetry {
 
-/** Where the pages of a status server come from; called on its threads. */
+/** One more page of a status server. */
+struct ExtraPage
+{
+  std::string path;
+  /** Makes JSON; gets the value of the query's "after", or nothing. */
+  std::function<std::string(const std::string& aAfter)> content;
+};
+
+/**
+ * Where the pages of a status server come from; called on its threads. Pages
+ * without a function are not served.
+ */
 struct StatusPages
 {
   /** The text exposition page. */
@@ -23,6 +35,7 @@
   std::function<bool()> isReady;
   /** Where that is answered by 200 or 503. */
   std::string readyPath = "/readyz";
+  std::vector<ExtraPage> more;
 };
 
 /** Serves /metrics, /status, /histograms, /healthz and readiness over HTTP. */
