Steering: Count flows from their opening, drop openings that went elsewhere

Change: a flow counts from its opening until its first answer, for at most 100 ms without a request; a waiting opening is dropped when its next copy does not come; a flow that nobody holds is reset at once by a balancer in touch. Conclusion: in the two seconds after a fault callers still wait for capacity.

--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -36,6 +36,9 @@
 
   void adoptMap(FleetMapPointer aMap, Core::TimePoint aNow)
   {
+    if (mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap)) {
+      mContext.settledAt = aNow + SearchSide<Format, Port>::kSearchAgainAfter;
+    }
     mContext.map = std::move(aMap);
     mContext.loads.forgetUnless([this](const Core::Endpoint& aAgent) {
       return mContext.map->findTarget(aAgent) != nullptr;
@@ -135,6 +138,18 @@
 private:
   using PacketType = typename Format::Packet;
 
+  static bool hasNewTarget(const FleetMap& aBefore, const FleetMap& aAfter)
+  {
+    for (const auto& service : aAfter.services()) {
+      for (const auto& target : service.targets) {
+        if (aBefore.findTarget(target.agent) == nullptr) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   void steer(const PacketType& aPacket, Core::TimePoint aNow)
   {
     const auto flow = aPacket.flowToService();
--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -37,6 +37,7 @@
 
   explicit OpeningSide(SteererContext<Format, Port>& aContext)
     : mContext(aContext)
+    , mPending(aContext.self.attempts)
   {
   }
 
@@ -54,13 +55,15 @@
     }
     auto* pending = mPending.find(aFlow);
     if (pending == nullptr) {
-      pending = mPending.add(aFlow, aPacket.bytes(), aNow);
+      pending =
+        mPending.add(aFlow, aPacket.bytes(), aPacket.copyNumber(), aNow);
       if (pending == nullptr) {
         mContext.counters.increment(SteeringCounter::OpeningsDropped);
         return;
       }
     } else {
       mContext.counters.increment(SteeringCounter::OpeningsRepeated);
+      mPending.noteCopy(*pending, aPacket.copyNumber(), aNow);
       if (pending->isWaiting()) {
         return;
       }
@@ -99,7 +102,12 @@
   {
     mRetriedAt = aNow;
     absl::flat_hash_set<const Service*> full;
-    for (const auto& flow : mPending.waiting(kFreshTime, aNow)) {
+    const auto freshTime = [this](const auto& aFlow) {
+      const auto* route = mContext.findRoute(aFlow);
+      return route == nullptr ? std::chrono::milliseconds(0)
+                              : route->latencyObjective;
+    };
+    for (const auto& flow : mPending.waiting(freshTime, aNow)) {
       auto* pending = mPending.find(flow);
       const auto* service = serviceOf(flow);
       if (pending == nullptr || full.contains(service)) {
@@ -142,9 +150,6 @@
   bool hasWaiting() const { return mPending.waitingCount() > 0; }
 
 private:
-  /** Openings that are older cannot be answered in time any more. */
-  static constexpr std::chrono::milliseconds kFreshTime{ 250 };
-
   RememberedFlow& memoryOf(const Packet::FlowKey& aFlow, Core::TimePoint aNow)
   {
     auto* known = mContext.flows.find(aFlow);
--- a/src/libs/steering/packetformat.h
+++ b/src/libs/steering/packetformat.h
@@ -30,6 +30,10 @@
   {
     aPacket.isOpening()
     } -> std::same_as<bool>;
+  /** How often the caller sent this opening packet before. */
+  {
+    aPacket.copyNumber()
+    } -> std::same_as<std::uint32_t>;
   /** The backend server's answer to the first packet. */
   {
     aPacket.isAccepting()
--- a/src/libs/steering/pendingopenings.cpp
+++ b/src/libs/steering/pendingopenings.cpp
@@ -4,6 +4,11 @@
 
 namespace Steering {
 
+PendingOpenings::PendingOpenings(const AttemptSchedule& aSchedule)
+  : mSchedule(aSchedule)
+{
+}
+
 PendingOpening*
 PendingOpenings::find(const Packet::FlowKey& aFlow)
 {
@@ -14,6 +19,7 @@
 PendingOpening*
 PendingOpenings::add(const Packet::FlowKey& aFlow,
                      absl::Span<const std::uint8_t> aPacket,
+                     std::uint32_t aCopy,
                      Core::TimePoint aNow)
 {
   if (mOpenings.size() >= kCapacity) {
@@ -22,16 +28,27 @@
   auto& opening = mOpenings[aFlow];
   opening.flow = aFlow;
   opening.packet.assign(aPacket.begin(), aPacket.end());
-  opening.firstAt = aNow;
+  opening.firstAt = aNow - mSchedule.age(aCopy);
+  noteCopy(opening, aCopy, aNow);
   return &opening;
 }
 
+void
+PendingOpenings::noteCopy(PendingOpening& aOpening,
+                          std::uint32_t aCopy,
+                          Core::TimePoint aNow) const
+{
+  const auto slack =
+    mSchedule.isLast(aCopy) ? std::chrono::milliseconds(0) : kCopyDelay;
+  aOpening.validUntil = aNow + mSchedule.timeToNext(aCopy) + slack;
+}
+
 std::vector<PendingOpening>
 PendingOpenings::takeExpired(Core::TimePoint aNow)
 {
   std::vector<PendingOpening> expired;
   absl::erase_if(mOpenings, [&expired, aNow](auto& aEntry) {
-    const bool isOver = aNow - aEntry.second.firstAt >= kAttemptTime;
+    const bool isOver = aNow >= aEntry.second.validUntil;
     if (isOver) {
       expired.push_back(std::move(aEntry.second));
     }
@@ -54,31 +71,32 @@
 }
 
 std::vector<Packet::FlowKey>
-PendingOpenings::waiting(std::chrono::milliseconds aFresh,
+PendingOpenings::waiting(const FreshTime& aFreshTime,
                          Core::TimePoint aNow) const
 {
-  std::vector<const PendingOpening*> list;
+  struct Ranked
+  {
+    const PendingOpening* opening;
+    bool isFresh;
+  };
+  std::vector<Ranked> list;
   for (const auto& [flow, opening] : mOpenings) {
     if (opening.isWaiting()) {
-      list.push_back(&opening);
+      list.push_back({ &opening, aNow - opening.firstAt < aFreshTime(flow) });
     }
   }
-  const auto isFresh = [aFresh, aNow](const PendingOpening& aOpening) {
-    return aNow - aOpening.firstAt < aFresh;
-  };
-  std::sort(list.begin(),
-            list.end(),
-            [&isFresh](const auto* aLeft, const auto* aRight) {
-              if (isFresh(*aLeft) != isFresh(*aRight)) {
-                return isFresh(*aLeft);
-              }
-              return isFresh(*aLeft) ? aLeft->firstAt > aRight->firstAt
-                                     : aLeft->firstAt < aRight->firstAt;
-            });
+  std::sort(
+    list.begin(), list.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+      if (aLeft.isFresh != aRight.isFresh) {
+        return aLeft.isFresh;
+      }
+      return aLeft.isFresh ? aLeft.opening->firstAt > aRight.opening->firstAt
+                           : aLeft.opening->firstAt < aRight.opening->firstAt;
+    });
   std::vector<Packet::FlowKey> flows;
   flows.reserve(list.size());
-  for (const auto* opening : list) {
-    flows.push_back(opening->flow);
+  for (const auto& it : list) {
+    flows.push_back(it.opening->flow);
   }
   return flows;
 }
--- a/src/libs/steering/pendingopenings.h
+++ b/src/libs/steering/pendingopenings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/attemptschedule.h"
+
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "packet/flowkey.h"
@@ -9,7 +11,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <optional>
+#include <functional>
 #include <vector>
 
 namespace Steering {
@@ -19,8 +21,10 @@
 {
   Packet::FlowKey flow;
   std::vector<std::uint8_t> packet;
-  /** When the caller's first copy came. */
+  /** When the caller sent the first copy. */
   Core::TimePoint firstAt{};
+  /** Without another copy the caller takes no answer after this. */
+  Core::TimePoint validUntil{};
   /** When it was sent to the agent. */
   Core::TimePoint sentAt{};
   /** The agent that owes an answer; null while it waits for a target. */
@@ -37,36 +41,46 @@
 class PendingOpenings
 {
 public:
-  /** After this a caller has ended the attempt and takes no answer. */
-  static constexpr std::chrono::milliseconds kAttemptTime{ 1'400 };
+  /** A copy that is so late was sent to another balancer. */
+  static constexpr std::chrono::milliseconds kCopyDelay{ 60 };
   /** The most that are kept; about 1 MB. More are dropped and counted. */
   static constexpr std::size_t kCapacity = 4'000;
 
+  explicit PendingOpenings(const AttemptSchedule& aSchedule);
+
   /** Null when the flow is not pending. */
   PendingOpening* find(const Packet::FlowKey& aFlow);
   /** Null when there is no room for another flow. */
   PendingOpening* add(const Packet::FlowKey& aFlow,
                       absl::Span<const std::uint8_t> aPacket,
+                      std::uint32_t aCopy,
                       Core::TimePoint aNow);
+  /** The caller sent another copy. */
+  void noteCopy(PendingOpening& aOpening,
+                std::uint32_t aCopy,
+                Core::TimePoint aNow) const;
   void erase(const Packet::FlowKey& aFlow) { mOpenings.erase(aFlow); }
   std::size_t size() const { return mOpenings.size(); }
   bool isEmpty() const { return mOpenings.empty(); }
 
-  /** Removes and returns those whose attempt is over. */
+  /** Removes and returns those whose callers take no answer any more. */
   std::vector<PendingOpening> takeExpired(Core::TimePoint aNow);
   /** Flows whose agent did not answer within aTimeout. */
   std::vector<Packet::FlowKey> unanswered(std::chrono::milliseconds aTimeout,
                                           Core::TimePoint aNow) const;
+  /** Tells how old an opening may be for an answer in time. */
+  using FreshTime =
+    std::function<std::chrono::milliseconds(const Packet::FlowKey&)>;
   /**
-   * Flows without a target: first those younger than aFresh, the newest in
-   * front, since they can still be answered in time; then the others, the
-   * oldest in front.
+   * Flows without a target: first those that can still be answered in time,
+   * the newest in front; then the others, the oldest in front.
    */
-  std::vector<Packet::FlowKey> waiting(std::chrono::milliseconds aFresh,
+  std::vector<Packet::FlowKey> waiting(const FreshTime& aFreshTime,
                                        Core::TimePoint aNow) const;
   std::size_t waitingCount() const;
 
 private:
+  AttemptSchedule mSchedule;
   absl::flat_hash_map<Packet::FlowKey, PendingOpening> mOpenings;
 };
 
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -18,9 +18,9 @@
   using PacketType = typename Format::Packet;
 
   /**
-   * A flow that nobody holds is reset when a second search so much later ends
-   * in the same way. A balancer in touch hears of a new target within the
-   * quarter of a second that its watch gathers changes; twice that is sure.
+   * While targets come, a flow that nobody holds is reset only when a second
+   * search so much later ends in the same way. A balancer in touch hears of a
+   * new target within a quarter of a second; twice that is sure.
    */
   static constexpr std::chrono::milliseconds kSearchAgainAfter{ 500 };
 
@@ -137,11 +137,10 @@
     aMemory.declined.clear();
     if (aMemory.exhaustedAt == Core::TimePoint{}) {
       aMemory.exhaustedAt = aNow;
-      return;
     }
-    const bool isSure = mContext.isMapCurrent && !aIsAnySuspected &&
-                        aNow - aMemory.exhaustedAt >= kSearchAgainAfter;
-    if (isSure) {
+    const bool isSettled = aNow >= mContext.settledAt ||
+                           aNow - aMemory.exhaustedAt >= kSearchAgainAfter;
+    if (mContext.isMapCurrent && !aIsAnySuspected && isSettled) {
       mContext.resetUnknown(aPacket, "no target holds the flow");
       mContext.flows.erase(aFlow);
     }
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/agentmessage.h"
+#include "steering/attemptschedule.h"
 #include "steering/fleetmap.h"
 #include "steering/flowmemory.h"
 #include "steering/loadtable.h"
@@ -36,6 +37,7 @@
 struct SteererIdentity
 {
   std::string zone;
+  AttemptSchedule attempts;
 };
 
 /** What the parts of a balancer's decisions share. Used by one thread. */
@@ -121,6 +123,8 @@
   FleetMapPointer map;
   /** The map is known to be the newest. */
   bool isMapCurrent = false;
+  /** Before this a target may exist that the map does not show yet. */
+  Core::TimePoint settledAt{};
   FlowMemory flows;
   LoadTable loads;
   SteeringCounters counters;
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -97,6 +97,7 @@
                              Core::TimePoint aNow)
   {
     mCounters.increment(SteeringCounter::PacketsReceived);
+    mFlows.expire(aNow);
     const auto message = AgentMessage::parse(aData);
     if (!message.ok()) {
       mCounters.increment(SteeringCounter::PacketsMalformed);
@@ -206,7 +207,7 @@
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
     flow.wantsNotice = true;
-    mFlows.noteOpening(flow, aMessage.isLongFlow, aNow);
+    mFlows.noteOpening(key, flow, aMessage.isLongFlow, aNow);
     const auto bytes = aPacket.bytes();
     mOpenings[key] = { aFrom, aNow, Bytes(bytes.begin(), bytes.end()) };
     deliver(aFrom, aPacket);
@@ -243,9 +244,7 @@
       return;
     }
     if (aPacket.carriesData()) {
-      if (aMessage.isLongFlow && !flow.isEnded) {
-        mFlows.noteOpening(flow, true, aNow);
-      }
+      mFlows.noteLong(flow, aMessage.isLongFlow);
       mFlows.noteCallerData(flow, aPacket.sequence(), mSlots, aNow);
     }
     deliver(aFrom, aPacket);
--- a/src/libs/steering/targetgateflows.cpp
+++ b/src/libs/steering/targetgateflows.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <utility>
+#include <vector>
 
 namespace Steering {
 
@@ -44,21 +45,27 @@
 }
 
 void
-TargetGateFlows::noteOpening(GatedFlow& aFlow,
+TargetGateFlows::noteOpening(const Packet::FlowKey& aKey,
+                             GatedFlow& aFlow,
                              bool aIsLong,
                              Core::TimePoint aNow)
 {
   if (std::exchange(aFlow.isEnded, false)) {
     aFlow.hasCallerData = false;
   }
-  if (aIsLong) {
-    mLongFlows += aFlow.isLong ? 0 : 1;
-    aFlow.isLong = true;
-    return;
-  }
+  noteLong(aFlow, aIsLong);
   if (aFlow.requestAt == Core::TimePoint{}) {
     aFlow.requestAt = aNow;
     ++mInProgress;
+    mOpened.push_back({ aNow, aKey });
+  }
+}
+
+void
+TargetGateFlows::noteLong(GatedFlow& aFlow, bool aIsLong)
+{
+  if (aIsLong && !aFlow.isEnded && !std::exchange(aFlow.isLong, true)) {
+    ++mLongFlows;
   }
 }
 
@@ -127,10 +134,28 @@
 void
 TargetGateFlows::expire(Core::TimePoint aNow)
 {
-  if (aNow - mSweptAt < kSweepInterval) {
-    return;
+  endUnused(aNow);
+  if (aNow - mSweptAt >= kSweepInterval) {
+    mSweptAt = aNow;
+    sweep(aNow);
+  }
+}
+
+void
+TargetGateFlows::endUnused(Core::TimePoint aNow)
+{
+  while (!mOpened.empty() && aNow - mOpened.front().at >= kRequestPatience) {
+    auto* flow = find(mOpened.front().flow);
+    if (flow != nullptr && !flow->hasCallerData) {
+      endRequest(*flow);
+    }
+    mOpened.pop_front();
   }
-  mSweptAt = aNow;
+}
+
+void
+TargetGateFlows::sweep(Core::TimePoint aNow)
+{
   std::vector<Packet::FlowKey> idle;
   for (auto& [key, flow] : mFlows) {
     const auto idleTime = flow.isEnded ? kEndedTime : kIdleTime;
@@ -138,11 +163,8 @@
       idle.push_back(key);
       continue;
     }
-    const auto patience = flow.hasCallerData
-                            ? std::chrono::nanoseconds(kRequestLimit)
-                            : std::chrono::nanoseconds(kRequestPatience);
-    const bool isOver =
-      flow.requestAt != Core::TimePoint{} && aNow - flow.requestAt >= patience;
+    const bool isOver = flow.requestAt != Core::TimePoint{} &&
+                        aNow - flow.requestAt >= kRequestLimit;
     if (isOver) {
       endRequest(flow);
     }
--- a/src/libs/steering/targetgateflows.h
+++ b/src/libs/steering/targetgateflows.h
@@ -9,7 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <vector>
+#include <deque>
 
 namespace Steering {
 
@@ -41,8 +41,11 @@
 class TargetGateFlows
 {
 public:
-  /** A flow of one request that never sent it holds no slot for longer. */
-  static constexpr std::chrono::milliseconds kRequestPatience{ 1'000 };
+  /**
+   * A flow that does not send its first request holds no slot for longer: its
+   * caller took another answer, or gave up. Five round trips between zones.
+   */
+  static constexpr std::chrono::milliseconds kRequestPatience{ 100 };
   /** A request without an answer for so long is over for its caller. */
   static constexpr std::chrono::seconds kRequestLimit{ 10 };
   /** Backend servers close a flow that is idle for less. */
@@ -55,8 +58,13 @@
 
   GatedFlow* find(const Packet::FlowKey& aFlow);
   GatedFlow& touch(const Packet::FlowKey& aFlow, Core::TimePoint aNow);
-  /** A new flow is delivered; of one request, it takes a slot from now on. */
-  void noteOpening(GatedFlow& aFlow, bool aIsLong, Core::TimePoint aNow);
+  /** A new flow is delivered; its first request takes a slot from now on. */
+  void noteOpening(const Packet::FlowKey& aKey,
+                   GatedFlow& aFlow,
+                   bool aIsLong,
+                   Core::TimePoint aNow);
+  /** The flow is of a class that keeps flows open. */
+  void noteLong(GatedFlow& aFlow, bool aIsLong);
   void noteCallerData(GatedFlow& aFlow,
                       std::uint32_t aSequence,
                       std::uint32_t aSlots,
@@ -65,6 +73,7 @@
   /** The backend server ended the flow. */
   void noteEnd(GatedFlow& aFlow);
   void erase(const Packet::FlowKey& aFlow);
+  /** Gives slots back that nobody will use; forgets idle flows. */
   void expire(Core::TimePoint aNow);
 
   std::uint32_t inProgress() const { return mInProgress; }
@@ -74,9 +83,19 @@
   std::size_t size() const { return mFlows.size(); }
 
 private:
+  struct Opened
+  {
+    Core::TimePoint at;
+    Packet::FlowKey flow;
+  };
+
+  void endUnused(Core::TimePoint aNow);
+  void sweep(Core::TimePoint aNow);
   void endRequest(GatedFlow& aFlow);
 
   absl::flat_hash_map<Packet::FlowKey, GatedFlow> mFlows;
+  /** Flows that were opened, in that order. */
+  std::deque<Opened> mOpened;
   std::uint32_t mInProgress = 0;
   std::uint32_t mLongFlows = 0;
   /** Smoothed time of requests that began at once. */
