Steering: Hold requests beyond the slots at the agent, fresh ones first

Change: an agent lets late openings in, so that their callers need no further attempt, and holds requests for which there is no slot: first those that can still be answered in time, the newest in front, then the late ones. It turns away what cannot be served before its timeout. Data of a flow that the backend server did not confirm is never held, since it must be handed back.

--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint8_t kWantsNotice = 0x02;
 constexpr std::uint8_t kLongFlow = 0x04;
 constexpr std::uint8_t kUnavailable = 0x08;
+/** Behind magic, kind, flags and reason. */
+constexpr std::size_t kFieldsAt = 4;
 constexpr std::size_t kNoticeBytes = 16;
 
 std::uint8_t
@@ -45,6 +47,51 @@
          aReason <= static_cast<std::uint8_t>(HandBackReason::Leaving);
 }
 
+void
+storeRequest(const AgentMessage& aMessage, std::uint8_t* aData)
+{
+  Packet::store32(aData, aMessage.serviceTag);
+  Packet::store16(aData + 4, aMessage.slots);
+  Packet::store16(aData + 6, narrow(aMessage.age));
+  Packet::store16(aData + 8, narrow(aMessage.latencyObjective));
+  Packet::store16(aData + 10, narrow(aMessage.timeout));
+}
+
+void
+loadRequest(const std::uint8_t* aData, AgentMessage& aMessage)
+{
+  aMessage.serviceTag = Packet::load32(aData);
+  aMessage.slots = Packet::load16(aData + 4);
+  aMessage.age = std::chrono::milliseconds(Packet::load16(aData + 6));
+  aMessage.latencyObjective =
+    std::chrono::milliseconds(Packet::load16(aData + 8));
+  aMessage.timeout = std::chrono::milliseconds(Packet::load16(aData + 10));
+}
+
+void
+storeLoad(const ReportedLoad& aLoad, std::uint8_t* aData)
+{
+  Packet::store16(aData, aLoad.inProgress);
+  Packet::store16(aData + 2, aLoad.lateRequests);
+  Packet::store16(aData + 4, aLoad.longFlows);
+  Packet::store16(aData + 6, narrow(aLoad.serviceTime));
+}
+
+void
+loadLoad(const std::uint8_t* aData, ReportedLoad& aLoad)
+{
+  aLoad.inProgress = Packet::load16(aData);
+  aLoad.lateRequests = Packet::load16(aData + 2);
+  aLoad.longFlows = Packet::load16(aData + 4);
+  aLoad.serviceTime = std::chrono::milliseconds(Packet::load16(aData + 6));
+}
+
+bool
+isFromBalancer(MessageKind aKind)
+{
+  return aKind == MessageKind::Forward || aKind == MessageKind::Probe;
+}
+
 } // namespace
 
 void
@@ -55,12 +102,11 @@
   head[1] = static_cast<std::uint8_t>(kind);
   head[2] = flagsOf(*this);
   head[3] = static_cast<std::uint8_t>(reason);
-  Packet::store32(&head[4], serviceTag);
-  Packet::store16(&head[8], slots);
-  Packet::store16(&head[10], load.inProgress);
-  Packet::store16(&head[12], load.longFlows);
-  Packet::store16(&head[14], narrow(load.serviceTime));
-  Packet::store16(&head[16], narrow(allowedWait));
+  if (isFromBalancer(kind)) {
+    storeRequest(*this, &head[kFieldsAt]);
+  } else {
+    storeLoad(load, &head[kFieldsAt]);
+  }
   aBuffer.insert(aBuffer.end(), head.begin(), head.end());
 }
 
@@ -81,13 +127,11 @@
   message.reason = static_cast<HandBackReason>(aData[3]);
   message.wantsNotice = (flags & kWantsNotice) != 0;
   message.isLongFlow = (flags & kLongFlow) != 0;
-  message.serviceTag = Packet::load32(&aData[4]);
-  message.slots = Packet::load16(&aData[8]);
-  message.load.inProgress = Packet::load16(&aData[10]);
-  message.load.longFlows = Packet::load16(&aData[12]);
-  message.load.serviceTime =
-    std::chrono::milliseconds(Packet::load16(&aData[14]));
-  message.allowedWait = std::chrono::milliseconds(Packet::load16(&aData[16]));
+  if (isFromBalancer(message.kind)) {
+    loadRequest(&aData[kFieldsAt], message);
+  } else {
+    loadLoad(&aData[kFieldsAt], message.load);
+  }
   message.load.isUnavailable = (flags & kUnavailable) != 0;
   return message;
 }
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -47,8 +47,10 @@
 /** An agent's load, told in each of its messages. */
 struct ReportedLoad
 {
-  /** Requests that the backend server has not answered yet. */
+  /** Requests that the backend server works on, or will before new ones. */
   std::uint16_t inProgress = 0;
+  /** Requests that are late already and wait for a slot. */
+  std::uint16_t lateRequests = 0;
   /** Flows that stay open for many requests. */
   std::uint16_t longFlows = 0;
   /** Mean time to answer a request. */
@@ -59,11 +61,11 @@
 
 /**
  * The head of each datagram between balancers and agents. All numbers are in
- * network byte order.
+ * network byte order; times are in milliseconds, up to a minute.
  */
 struct AgentMessage
 {
-  static constexpr std::size_t kBytes = 18;
+  static constexpr std::size_t kBytes = 16;
 
   MessageKind kind = MessageKind::Probe;
   HandBackReason reason = HandBackReason::None;
@@ -75,8 +77,12 @@
   std::uint32_t serviceTag = 0;
   /** Forward: slots of the backend server as the balancer knows them. */
   std::uint16_t slots = 0;
-  /** Forward: how long a new flow may wait for a slot, up to a minute. */
-  std::chrono::milliseconds allowedWait{ 0 };
+  /** Forward: how long the caller has waited for its opening packet. */
+  std::chrono::milliseconds age{ 0 };
+  /** Forward: answers that come later are worth less. */
+  std::chrono::milliseconds latencyObjective{ 0 };
+  /** Forward: the caller gives up after this. */
+  std::chrono::milliseconds timeout{ 0 };
   /** All messages of an agent. */
   ReportedLoad load;
 
--- a/src/libs/steering/flowmemory.h
+++ b/src/libs/steering/flowmemory.h
@@ -37,8 +37,10 @@
 {
   /** The agent whose backend server has the flow, as far as known. */
   Core::Endpoint agent;
-  /** Agents that cannot have the flow, or did not answer for it. */
+  /** Agents that are passed over: they declined, or did not answer. */
   AgentList declined;
+  /** Agents that said that they do not hold the open flow. */
+  AgentList notHeldBy;
   /** How often an agent had no room for it since it last waited. */
   int turnedAway = 0;
   absl::InlinedVector<Offer, 1> offers;
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -225,6 +225,7 @@
     memory.agent = aFrom;
     memory.isConfirmed = true;
     memory.declined.clear();
+    memory.notHeldBy.clear();
     memory.exhaustedAt = {};
   }
 
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -31,6 +31,11 @@
   {
     return reported.inProgress + unreportedShort;
   }
+  /** Late ones as well. */
+  std::uint32_t allRequests() const
+  {
+    return inProgress() + reported.lateRequests;
+  }
   std::uint32_t longFlows() const
   {
     return reported.longFlows + unreportedLong;
--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -50,7 +50,7 @@
     if (known != nullptr && (known->isConfirmed || known->isEstablished)) {
       known->lastPacketAt = aNow;
       const auto* route = mContext.findRoute(aFlow);
-      mContext.forward(aPacket, *route, *known, route->timeout);
+      mContext.forward(aPacket, *route, *known);
       return;
     }
     auto* pending = mPending.find(aFlow);
@@ -215,15 +215,12 @@
             std::uint64_t aHash,
             Core::TimePoint aNow)
   {
-    const auto* chosen = selectTarget(mCandidates, aRoute.habit, aHash);
-    auto allowedWait = std::chrono::milliseconds(0);
-    if (chosen != nullptr && expectedWait(*chosen) > allowedWait) {
-      chosen = selectTarget(mCandidates, FlowHabit::OneRequest, aHash);
-    }
-    if (chosen != nullptr && expectedWait(*chosen) > allowedWait) {
-      allowedWait = aRoute.latencyObjective / kQueueShare;
-    }
-    if (chosen == nullptr || expectedWait(*chosen) > allowedWait) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      aNow - aPending.firstAt);
+    const auto* chosen = age < aRoute.latencyObjective
+                           ? selectForFresh(aRoute, aHash)
+                           : selectForLate(mCandidates);
+    if (chosen == nullptr) {
       return;
     }
     aMemory.agent = chosen->target->agent;
@@ -236,7 +233,20 @@
     mContext.loads.noteAsked(aMemory.agent, aNow);
     mContext.loads.noteFlow(aMemory.agent,
                             aRoute.habit == FlowHabit::ManyRequests);
-    mContext.forward(aPacket, aRoute, aMemory, allowedWait);
+    mContext.forward(aPacket, aRoute, aMemory, age);
+  }
+
+  /** A target that can answer in time; null when there is none. */
+  const Candidate* selectForFresh(const Route& aRoute, std::uint64_t aHash)
+  {
+    const auto* chosen = selectTarget(mCandidates, aRoute.habit, aHash);
+    if (chosen != nullptr && expectedWait(*chosen).count() > 0) {
+      chosen = selectTarget(mCandidates, FlowHabit::OneRequest, aHash);
+    }
+    const bool isInTime =
+      chosen != nullptr &&
+      expectedWait(*chosen) <= aRoute.latencyObjective / kQueueShare;
+    return isInTime ? chosen : nullptr;
   }
 
   void collectCandidates(const Service& aService,
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -74,6 +74,7 @@
       return;
     }
     memory.declined.add(aFrom);
+    memory.notHeldBy.add(aFrom);
     askNext(aPacket, aFlow, aRoute, memory, aNow);
   }
 
@@ -110,37 +111,37 @@
     aMemory.agent = {};
     const auto order =
       searchOrder(*mContext.map, aRoute, mContext.self.zone, flowHash(aFlow));
-    bool isAnySuspected = false;
+    bool haveAllDeclined = !order.empty();
     for (const auto* target : order) {
-      if (mContext.loads.isSuspected(target->agent, aNow)) {
-        isAnySuspected = true;
-        continue;
-      }
-      if (!aMemory.declined.contains(target->agent)) {
-        aMemory.agent = target->agent;
-        mContext.loads.noteAsked(aMemory.agent, aNow);
+      const auto& agent = target->agent;
+      haveAllDeclined = haveAllDeclined && aMemory.notHeldBy.contains(agent);
+      if (!aMemory.declined.contains(agent) &&
+          !mContext.loads.isSuspected(agent, aNow)) {
+        aMemory.agent = agent;
+        mContext.loads.noteAsked(agent, aNow);
         mContext.forward(aPacket, aRoute, aMemory);
         return;
       }
     }
     mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
-    noteExhausted(aPacket, aFlow, aMemory, isAnySuspected, aNow);
+    noteExhausted(aPacket, aFlow, aMemory, haveAllDeclined, aNow);
   }
 
-  /** Every agent that answers has declined. */
+  /** There is nobody left to ask. */
   void noteExhausted(const PacketType& aPacket,
                      const Packet::FlowKey& aFlow,
                      RememberedFlow& aMemory,
-                     bool aIsAnySuspected,
+                     bool aHaveAllDeclined,
                      Core::TimePoint aNow)
   {
     aMemory.declined.clear();
+    aMemory.notHeldBy.clear();
     if (aMemory.exhaustedAt == Core::TimePoint{}) {
       aMemory.exhaustedAt = aNow;
     }
     const bool isSettled = aNow >= mContext.settledAt ||
                            aNow - aMemory.exhaustedAt >= kSearchAgainAfter;
-    if (mContext.isMapCurrent && !aIsAnySuspected && isSettled) {
+    if (mContext.isMapCurrent && aHaveAllDeclined && isSettled) {
       mContext.resetUnknown(aPacket, "no target holds the flow");
       mContext.flows.erase(aFlow);
     }
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -63,13 +63,13 @@
   }
 
   /**
-   * Sends a packet to the agent that the memory names. A new flow may wait
-   * aAllowedWait for a slot; an open one is not asked.
+   * Sends a packet to the agent that the memory names. aAge tells how long
+   * the caller of a new flow has waited.
    */
   void forward(const PacketType& aPacket,
                const Route& aRoute,
                const RememberedFlow& aMemory,
-               std::chrono::milliseconds aAllowedWait = {})
+               std::chrono::milliseconds aAge = {})
   {
     const auto* target = map->findTarget(aMemory.agent);
     if (target == nullptr) {
@@ -82,7 +82,9 @@
     message.isLongFlow = aRoute.habit == FlowHabit::ManyRequests;
     message.serviceTag = map->serviceOf(aMemory.agent).tag;
     message.slots = static_cast<std::uint16_t>(target->slots);
-    message.allowedWait = aAllowedWait;
+    message.age = aAge;
+    message.latencyObjective = aRoute.latencyObjective;
+    message.timeout = aRoute.timeout;
     mBuffer.clear();
     message.appendTo(mBuffer);
     const auto bytes = aPacket.bytes();
--- a/src/libs/steering/steeringcounters.cpp
+++ b/src/libs/steering/steeringcounters.cpp
@@ -17,8 +17,9 @@
   "flows_reset",           "flows_turned_away",
   "openings_repeated",     "openings_unanswered",
   "openings_dropped",      "openings_expired",
-  "wrong_service",         "targets_suspected",
-  "owner_notices",         "load_reports",
+  "requests_held",         "wrong_service",
+  "targets_suspected",     "owner_notices",
+  "load_reports",
 };
 
 } // namespace
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -29,6 +29,7 @@
   OpeningsUnanswered,
   OpeningsDropped,
   OpeningsExpired,
+  RequestsHeld,
   WrongService,
   TargetsSuspected,
   OwnerNotices,
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -3,6 +3,8 @@
 #include "steering/agentmessage.h"
 #include "steering/fleetmap.h"
 #include "steering/packetformat.h"
+#include "steering/requestqueue.h"
+#include "steering/slotwait.h"
 #include "steering/steeringcounters.h"
 #include "steering/targetgateflows.h"
 
@@ -15,6 +17,7 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
+#include <limits>
 #include <optional>
 #include <string>
 #include <utility>
@@ -67,6 +70,16 @@
   static constexpr std::chrono::milliseconds kReportInterval{ 100 };
   /** Reports of one agent to all balancers; 50 of 44 bytes are 2.2 KB/s. */
   static constexpr int kReportsPerSecond = 50;
+  /**
+   * A new flow may have to wait for a slot for this part of its latency
+   * objective; the rest is for the way and the work itself.
+   */
+  static constexpr int kQueueShare = 3;
+  /**
+   * Requests that a backend server gets beyond its slots, so that no slot is
+   * free while an answer is on its way through the agent.
+   */
+  static constexpr std::uint32_t kDeliveredAhead = 1;
 
   TargetGate(Port& aPort, GateIdentity aSelf, Telemetry::EventLog& aEvents)
     : mPort(aPort)
@@ -81,13 +94,14 @@
   const SteeringCounters& counters() const { return mCounters; }
   std::size_t openFlows() const { return mFlows.size(); }
   std::uint32_t inProgress() const { return mFlows.inProgress(); }
+  std::size_t waiting() const { return mQueue.size(); }
 
   /** No new flow is admitted from now on, and balancers are told. */
-  void beginLeaving()
+  void beginLeaving(Core::TimePoint aNow)
   {
     mIsLeaving = true;
     for (auto& balancer : mBalancers) {
-      sendReport(balancer);
+      sendReport(balancer, aNow);
     }
   }
 
@@ -105,7 +119,7 @@
     }
     auto& balancer = balancerOf(aFrom, aNow);
     if (message->kind == MessageKind::Probe) {
-      sendReport(balancer);
+      sendReport(balancer, aNow);
       return;
     }
     const auto body = aData.subspan(AgentMessage::kBytes);
@@ -117,7 +131,7 @@
     mSlots = std::max<std::uint32_t>(message->slots, 1);
     if (message->serviceTag != mServiceTag) {
       mCounters.increment(SteeringCounter::WrongService);
-      handBack(aFrom, *packet, HandBackReason::WrongService);
+      handBack(aFrom, *packet, HandBackReason::WrongService, aNow);
       return;
     }
     if (packet->isOpening()) {
@@ -138,7 +152,7 @@
     }
     noteTargetAnswered();
     if (packet->isHandedBack()) {
-      handleReturned(*packet);
+      handleReturned(*packet, aNow);
       return;
     }
     const auto flow = packet->flowToCaller();
@@ -152,13 +166,17 @@
   {
     returnUnanswered(aNow);
     mFlows.expire(aNow);
+    for (const auto& key : mQueue.takeUseless(aNow)) {
+      mFlows.erase(key);
+    }
+    deliverHeld(aNow);
     reportChanges(aNow);
   }
 
   /** When tick() is due; nothing while nothing is waited for. */
   std::optional<std::chrono::milliseconds> timeToTick() const
   {
-    if (mOpenings.empty()) {
+    if (mOpenings.empty() && mQueue.isEmpty()) {
       return std::nullopt;
     }
     return kOpeningTimeout / 2;
@@ -196,10 +214,8 @@
     if (!isKnown) {
       const auto reason = reasonAgainst(aMessage, aNow);
       if (reason != HandBackReason::None) {
-        if (reason == HandBackReason::Full) {
-          balancerOf(aFrom, aNow).isWaiting = true;
-        }
-        handBack(aFrom, aPacket, reason);
+        balancerOf(aFrom, aNow).isWaiting = reason == HandBackReason::Full;
+        handBack(aFrom, aPacket, reason, aNow);
         return;
       }
       mCounters.increment(SteeringCounter::FlowsAdmitted);
@@ -207,12 +223,21 @@
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
     flow.wantsNotice = true;
-    mFlows.noteOpening(key, flow, aMessage.isLongFlow, aNow);
+    flow.startedAt = aNow - aMessage.age;
+    mFlows.noteLong(flow, aMessage.isLongFlow);
+    if (!isLate(aMessage)) {
+      mFlows.expectRequest(key, flow, aNow);
+    }
     const auto bytes = aPacket.bytes();
     mOpenings[key] = { aFrom, aNow, Bytes(bytes.begin(), bytes.end()) };
     deliver(aFrom, aPacket);
   }
 
+  static bool isLate(const AgentMessage& aMessage)
+  {
+    return aMessage.age >= aMessage.latencyObjective;
+  }
+
   HandBackReason reasonAgainst(const AgentMessage& aMessage,
                                Core::TimePoint aNow)
   {
@@ -226,8 +251,22 @@
       mTriedAt = aNow;
       return HandBackReason::None;
     }
-    const bool isFull = mFlows.expectedWait(mSlots) > aMessage.allowedWait;
-    return isFull ? HandBackReason::Full : HandBackReason::None;
+    return hasRoom(aMessage, aNow) ? HandBackReason::None
+                                   : HandBackReason::Full;
+  }
+
+  /** True when a request of the flow would get a slot early enough. */
+  bool hasRoom(const AgentMessage& aMessage, Core::TimePoint aNow) const
+  {
+    const auto fresh = mFlows.inProgress() + mQueue.freshCount(aNow);
+    if (!isLate(aMessage)) {
+      return waitForSlot(fresh, mSlots, mFlows.serviceTime()) <=
+             aMessage.latencyObjective / kQueueShare;
+    }
+    const auto all =
+      mFlows.inProgress() + static_cast<std::uint32_t>(mQueue.size());
+    return waitForSlot(all, mSlots, mFlows.serviceTime()) + aMessage.age <
+           aMessage.timeout;
   }
 
   void handleOngoing(const Core::Endpoint& aFrom,
@@ -238,23 +277,96 @@
     const auto key = aPacket.flowToService();
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
+    if (aMessage.wantsNotice && flow.isConfirmed) {
+      sendNotice(flow.balancer, key, 0, aNow);
+    } else {
+      flow.wantsNotice |= aMessage.wantsNotice;
+    }
     if (aPacket.isReset()) {
+      mQueue.erase(key);
       mFlows.noteEnd(flow);
-      deliver(aFrom, aPacket);
-      return;
-    }
-    if (aPacket.carriesData()) {
+    } else if (aPacket.carriesData() && !flow.isEnded) {
       mFlows.noteLong(flow, aMessage.isLongFlow);
-      mFlows.noteCallerData(flow, aPacket.sequence(), mSlots, aNow);
+      handleData(aFrom, aMessage, aPacket, flow, aNow);
+      return;
+    } else if (aPacket.isClosing() && flow.request == RequestState::Held) {
+      // It must not overtake the request.
+      mQueue.append(key, copyOf(aPacket));
+      return;
     }
     deliver(aFrom, aPacket);
-    if (!aMessage.wantsNotice) {
+  }
+
+  /** Data of a request goes to the backend server, or waits for a slot. */
+  void handleData(const Core::Endpoint& aFrom,
+                  const AgentMessage& aMessage,
+                  const PacketType& aPacket,
+                  GatedFlow& aFlow,
+                  Core::TimePoint aNow)
+  {
+    const bool isNew = mFlows.noteCallerData(aFlow, aPacket.sequence());
+    if (aFlow.request == RequestState::Held) {
+      if (isNew) {
+        mQueue.append(aPacket.flowToService(), copyOf(aPacket));
+      }
+      return;
+    }
+    const bool startsRequest =
+      isNew && aFlow.request != RequestState::Delivered;
+    // What the backend server may not hold must reach it, to be handed back.
+    if (startsRequest && aFlow.isConfirmed && !hasFreeSlot()) {
+      hold(aMessage, aPacket, aFlow, aNow);
       return;
     }
-    flow.wantsNotice = !flow.isHeld;
-    if (flow.isHeld) {
-      sendNotice(flow.balancer, key, 0);
+    if (startsRequest) {
+      mFlows.noteDelivered(aFlow, aNow);
     }
+    deliver(aFrom, aPacket);
+  }
+
+  bool hasFreeSlot() const
+  {
+    return mFlows.delivered() < mSlots + kDeliveredAhead;
+  }
+
+  void hold(const AgentMessage& aMessage,
+            const PacketType& aPacket,
+            GatedFlow& aFlow,
+            Core::TimePoint aNow)
+  {
+    // Only the first request of a flow waited for the opening as well.
+    const bool isFirst = aFlow.startedAt != Core::TimePoint{};
+    HeldRequest request;
+    request.flow = aPacket.flowToService();
+    request.startedAt = isFirst ? aFlow.startedAt : aNow;
+    request.lateAt = request.startedAt + aMessage.latencyObjective;
+    request.uselessAt = request.startedAt + aMessage.timeout;
+    request.packets.push_back(copyOf(aPacket));
+    mQueue.add(std::move(request));
+    mFlows.noteHeld(aFlow);
+    mCounters.increment(SteeringCounter::RequestsHeld);
+  }
+
+  /** Gives free slots to what waits. */
+  void deliverHeld(Core::TimePoint aNow)
+  {
+    while (hasFreeSlot() && !mQueue.isEmpty()) {
+      const auto request = mQueue.takeNext(aNow);
+      auto& flow = mFlows.touch(request->flow, aNow);
+      mFlows.noteDelivered(flow, aNow);
+      for (const auto& bytes : request->packets) {
+        const auto packet = Format::parse(bytes);
+        if (packet.ok()) {
+          deliver(flow.balancer, *packet);
+        }
+      }
+    }
+  }
+
+  static Bytes copyOf(const PacketType& aPacket)
+  {
+    const auto bytes = aPacket.bytes();
+    return Bytes(bytes.begin(), bytes.end());
   }
 
   void noteTargetPacket(const PacketType& aPacket,
@@ -263,32 +375,39 @@
   {
     auto& flow = mFlows.touch(aFlow, aNow);
     if (aPacket.isReset()) {
+      mQueue.erase(aFlow);
       mFlows.noteEnd(flow);
       mOpenings.erase(aFlow);
+      deliverHeld(aNow);
       return;
     }
-    flow.isHeld = true;
+    flow.isConfirmed = true;
     if (aPacket.carriesData()) {
+      flow.startedAt = {};
       mFlows.noteAnswer(flow, aNow);
-      tellNextWaiting();
+      deliverHeld(aNow);
+      tellNextWaiting(aNow);
     }
     if (aPacket.isAccepting()) {
       mOpenings.erase(aFlow);
     }
     if (std::exchange(flow.wantsNotice, false)) {
       const auto sequence = aPacket.isAccepting() ? aPacket.sequence() : 0;
-      sendNotice(flow.balancer, aFlow, sequence);
+      sendNotice(flow.balancer, aFlow, sequence, aNow);
     }
     if (aPacket.isClosing()) {
+      mQueue.erase(aFlow);
       mFlows.noteEnd(flow);
+      deliverHeld(aNow);
     }
   }
 
   /** The backend server does not hold the flow, or refused to open it. */
-  void handleReturned(const PacketType& aPacket)
+  void handleReturned(const PacketType& aPacket, Core::TimePoint aNow)
   {
     const auto token = aPacket.returnToken();
     const auto flow = aPacket.flowToService();
+    mQueue.erase(flow);
     mFlows.erase(flow);
     mOpenings.erase(flow);
     if (token == 0 || token > mBalancers.size()) {
@@ -297,7 +416,7 @@
     }
     const auto reason =
       aPacket.isOpening() ? HandBackReason::Refused : HandBackReason::NotHeld;
-    handBack(mBalancers[token - 1].endpoint, aPacket, reason);
+    handBack(mBalancers[token - 1].endpoint, aPacket, reason, aNow);
   }
 
   void returnUnanswered(Core::TimePoint aNow)
@@ -318,7 +437,7 @@
       mOpenings.erase(it++);
       const auto packet = Format::parse(opening.packet);
       if (packet.ok()) {
-        handBack(opening.balancer, *packet, HandBackReason::Silent);
+        handBack(opening.balancer, *packet, HandBackReason::Silent, aNow);
       }
     }
   }
@@ -342,12 +461,13 @@
 
   void handBack(const Core::Endpoint& aTo,
                 const PacketType& aPacket,
-                HandBackReason aReason)
+                HandBackReason aReason,
+                Core::TimePoint aNow)
   {
     AgentMessage message;
     message.kind = MessageKind::HandBack;
     message.reason = aReason;
-    message.load = load();
+    message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
     const auto bytes = aPacket.bytes();
@@ -359,14 +479,15 @@
 
   void sendNotice(const Core::Endpoint& aTo,
                   const Packet::FlowKey& aFlow,
-                  std::uint32_t aSequence)
+                  std::uint32_t aSequence,
+                  Core::TimePoint aNow)
   {
     if (aTo.isNull()) {
       return;
     }
     AgentMessage message;
     message.kind = MessageKind::OwnerNotice;
-    message.load = load();
+    message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
     OwnerNotice{ aFlow, aSequence }.appendTo(mBuffer);
@@ -374,11 +495,11 @@
     mCounters.increment(SteeringCounter::OwnerNotices);
   }
 
-  void sendReport(Balancer& aTo)
+  void sendReport(Balancer& aTo, Core::TimePoint aNow)
   {
     AgentMessage message;
     message.kind = MessageKind::LoadReport;
-    message.load = load();
+    message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
     aTo.reported = message.load;
@@ -387,7 +508,7 @@
   }
 
   /** Tells one balancer that was turned away, in turn, of a free slot. */
-  void tellNextWaiting()
+  void tellNextWaiting(Core::TimePoint aNow)
   {
     if (mFlows.inProgress() >= mSlots) {
       return;
@@ -396,7 +517,7 @@
       mToldLast = (mToldLast + 1) % mBalancers.size();
       auto& balancer = mBalancers[mToldLast];
       if (std::exchange(balancer.isWaiting, false)) {
-        sendReport(balancer);
+        sendReport(balancer, aNow);
         return;
       }
     }
@@ -411,7 +532,7 @@
     const auto spread =
       std::chrono::milliseconds(active * 1'000 / kReportsPerSecond);
     const auto interval = std::max(kReportInterval, spread);
-    const auto current = load();
+    const auto current = load(aNow);
     for (auto& balancer : mBalancers) {
       const bool hasChanged =
         balancer.reported.inProgress != current.inProgress ||
@@ -422,18 +543,30 @@
                          aNow - balancer.reportedAt >= interval;
       if (isDue) {
         balancer.reportedAt = aNow;
-        sendReport(balancer);
+        sendReport(balancer, aNow);
       }
     }
   }
 
-  ReportedLoad load() const
+  ReportedLoad load(Core::TimePoint aNow) const
   {
-    auto load = mFlows.load();
+    const auto fresh = mQueue.freshCount(aNow);
+    ReportedLoad load;
+    load.inProgress = narrow(mFlows.inProgress() + fresh);
+    load.lateRequests =
+      narrow(static_cast<std::uint32_t>(mQueue.size()) - fresh);
+    load.longFlows = narrow(mFlows.longFlows());
+    load.serviceTime = mFlows.serviceTime();
     load.isUnavailable = mIsLeaving || mUnanswered >= kSilentAfter;
     return load;
   }
 
+  static std::uint16_t narrow(std::uint32_t aValue)
+  {
+    constexpr std::uint32_t kMost = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(aValue, kMost));
+  }
+
   Balancer& balancerOf(const Core::Endpoint& aEndpoint, Core::TimePoint aNow)
   {
     auto& balancer = mBalancers[tokenOf(aEndpoint) - 1];
@@ -457,6 +590,7 @@
   std::uint32_t mServiceTag;
   Telemetry::EventLog& mEvents;
   TargetGateFlows mFlows;
+  RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, Opening> mOpenings;
   std::vector<Balancer> mBalancers;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mTokens;
--- a/src/libs/steering/targetgateflows.cpp
+++ b/src/libs/steering/targetgateflows.cpp
@@ -1,9 +1,5 @@
 #include "steering/targetgateflows.h"
 
-#include "steering/slotwait.h"
-
-#include <algorithm>
-#include <limits>
 #include <utility>
 #include <vector>
 
@@ -14,13 +10,6 @@
 /** Weight of the newest request in the smoothed time: about the last ten. */
 constexpr double kSmoothing = 0.1;
 
-std::uint16_t
-narrow(std::uint32_t aValue)
-{
-  constexpr std::uint32_t kMost = std::numeric_limits<std::uint16_t>::max();
-  return static_cast<std::uint16_t>(std::min(aValue, kMost));
-}
-
 bool
 isAfter(std::uint32_t aLeft, std::uint32_t aRight)
 {
@@ -45,77 +34,81 @@
 }
 
 void
-TargetGateFlows::noteOpening(const Packet::FlowKey& aKey,
-                             GatedFlow& aFlow,
-                             bool aIsLong,
-                             Core::TimePoint aNow)
+TargetGateFlows::noteLong(GatedFlow& aFlow, bool aIsLong)
 {
-  if (std::exchange(aFlow.isEnded, false)) {
-    aFlow.hasCallerData = false;
-  }
-  noteLong(aFlow, aIsLong);
-  if (aFlow.requestAt == Core::TimePoint{}) {
-    aFlow.requestAt = aNow;
-    ++mInProgress;
-    mOpened.push_back({ aNow, aKey });
+  if (aIsLong && !aFlow.isEnded && !std::exchange(aFlow.isLong, true)) {
+    ++mLongFlows;
   }
 }
 
 void
-TargetGateFlows::noteLong(GatedFlow& aFlow, bool aIsLong)
+TargetGateFlows::expectRequest(const Packet::FlowKey& aKey,
+                               GatedFlow& aFlow,
+                               Core::TimePoint aNow)
 {
-  if (aIsLong && !aFlow.isEnded && !std::exchange(aFlow.isLong, true)) {
-    ++mLongFlows;
+  if (std::exchange(aFlow.isEnded, false)) {
+    aFlow.hasCallerData = false;
+  }
+  if (aFlow.request == RequestState::None) {
+    setRequest(aFlow, RequestState::Expected);
+    mOpened.push_back({ aNow, aKey });
   }
 }
 
-void
-TargetGateFlows::noteCallerData(GatedFlow& aFlow,
-                                std::uint32_t aSequence,
-                                std::uint32_t aSlots,
-                                Core::TimePoint aNow)
+bool
+TargetGateFlows::noteCallerData(GatedFlow& aFlow, std::uint32_t aSequence)
 {
   const bool isRepeated =
     aFlow.hasCallerData && !isAfter(aSequence, aFlow.lastCallerSequence);
-  if (isRepeated || aFlow.isEnded) {
-    return;
+  if (isRepeated) {
+    return false;
   }
   aFlow.hasCallerData = true;
   aFlow.lastCallerSequence = aSequence;
-  if (aFlow.requestAt == Core::TimePoint{}) {
-    ++mInProgress;
-    aFlow.requestAt = aNow;
+  return true;
+}
+
+void
+TargetGateFlows::noteHeld(GatedFlow& aFlow)
+{
+  setRequest(aFlow, RequestState::Held);
+}
+
+void
+TargetGateFlows::noteDelivered(GatedFlow& aFlow, Core::TimePoint aNow)
+{
+  if (!aFlow.isEnded && aFlow.request != RequestState::Delivered) {
+    setRequest(aFlow, RequestState::Delivered);
+    aFlow.deliveredAt = aNow;
   }
-  aFlow.startedAtOnce = mInProgress <= aSlots;
 }
 
 void
 TargetGateFlows::noteAnswer(GatedFlow& aFlow, Core::TimePoint aNow)
 {
-  if (aFlow.requestAt == Core::TimePoint{}) {
+  if (aFlow.request != RequestState::Delivered) {
     return;
   }
-  if (aFlow.startedAtOnce) {
-    const auto taken =
-      std::chrono::duration<double, std::milli>(aNow - aFlow.requestAt);
-    mServiceTime += kSmoothing * (taken - mServiceTime);
-  }
-  endRequest(aFlow);
+  const auto taken =
+    std::chrono::duration<double, std::milli>(aNow - aFlow.deliveredAt);
+  mServiceTime += kSmoothing * (taken - mServiceTime);
+  setRequest(aFlow, RequestState::None);
 }
 
 void
-TargetGateFlows::endRequest(GatedFlow& aFlow)
+TargetGateFlows::setRequest(GatedFlow& aFlow, RequestState aState)
 {
-  if (aFlow.requestAt != Core::TimePoint{}) {
-    aFlow.requestAt = {};
-    --mInProgress;
-  }
+  mExpected -= aFlow.request == RequestState::Expected ? 1 : 0;
+  mDelivered -= aFlow.request == RequestState::Delivered ? 1 : 0;
+  aFlow.request = aState;
+  mExpected += aState == RequestState::Expected ? 1 : 0;
+  mDelivered += aState == RequestState::Delivered ? 1 : 0;
 }
 
 void
 TargetGateFlows::noteEnd(GatedFlow& aFlow)
 {
-  endRequest(aFlow);
+  setRequest(aFlow, RequestState::None);
   mLongFlows -= std::exchange(aFlow.isLong, false) ? 1 : 0;
   aFlow.isEnded = true;
 }
@@ -146,8 +139,8 @@
 {
   while (!mOpened.empty() && aNow - mOpened.front().at >= kRequestPatience) {
     auto* flow = find(mOpened.front().flow);
-    if (flow != nullptr && !flow->hasCallerData) {
-      endRequest(*flow);
+    if (flow != nullptr && flow->request == RequestState::Expected) {
+      setRequest(*flow, RequestState::None);
     }
     mOpened.pop_front();
   }
@@ -163,10 +156,10 @@
       idle.push_back(key);
       continue;
     }
-    const bool isOver = flow.requestAt != Core::TimePoint{} &&
-                        aNow - flow.requestAt >= kRequestLimit;
+    const bool isOver = flow.request == RequestState::Delivered &&
+                        aNow - flow.deliveredAt >= kRequestLimit;
     if (isOver) {
-      endRequest(flow);
+      setRequest(flow, RequestState::None);
     }
   }
   for (const auto& key : idle) {
@@ -175,23 +168,9 @@
 }
 
 std::chrono::milliseconds
-TargetGateFlows::expectedWait(std::uint32_t aSlots) const
-{
-  return waitForSlot(
-    mInProgress,
-    aSlots,
-    std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime));
-}
-
-ReportedLoad
-TargetGateFlows::load() const
+TargetGateFlows::serviceTime() const
 {
-  ReportedLoad load;
-  load.inProgress = narrow(mInProgress);
-  load.longFlows = narrow(mLongFlows);
-  load.serviceTime =
-    std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime);
-  return load;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime);
 }
 
 } // namespace Steering
--- a/src/libs/steering/targetgateflows.h
+++ b/src/libs/steering/targetgateflows.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "steering/agentmessage.h"
-
 #include "core/clock.h"
 #include "packet/flowkey.h"
 
@@ -13,20 +11,34 @@
 
 namespace Steering {
 
+/** Where the newest request of a flow stands. */
+enum class RequestState : std::uint8_t
+{
+  /** There is none, or it was answered. */
+  None,
+  /** The flow was opened for it; it comes next. */
+  Expected,
+  /** It waits at the agent for a slot. */
+  Held,
+  /** The backend server has it and did not answer. */
+  Delivered,
+};
+
 /** What an agent knows of a flow of its backend server. */
 struct GatedFlow
 {
   /** The balancer that sent the last packet. */
   Core::Endpoint balancer;
   Core::TimePoint lastPacketAt{};
-  /** Start of the request in progress; null for none. */
-  Core::TimePoint requestAt{};
+  /** When the request was delivered. */
+  Core::TimePoint deliveredAt{};
+  /** When the caller began to wait for the flow, as far as known. */
+  Core::TimePoint startedAt{};
   std::uint32_t lastCallerSequence = 0;
+  RequestState request = RequestState::None;
   bool isLong = false;
   /** The backend server sent a packet of it. */
-  bool isHeld = false;
-  /** The request began while a slot was free. */
-  bool startedAtOnce = false;
+  bool isConfirmed = false;
   bool hasCallerData = false;
   bool wantsNotice = false;
   /** The backend server closed or reset it; late packets count no more. */
@@ -35,8 +47,8 @@
 
 /**
  * The flows of one backend server, as its agent sees them pass, and the load
- * that follows from them: a request is in progress from the caller's data to
- * the first data of the answer. Used by one thread.
+ * that follows from them: a request is with the backend server from the
+ * caller's data to the first data of the answer. Used by one thread.
  */
 class TargetGateFlows
 {
@@ -58,17 +70,17 @@
 
   GatedFlow* find(const Packet::FlowKey& aFlow);
   GatedFlow& touch(const Packet::FlowKey& aFlow, Core::TimePoint aNow);
-  /** A new flow is delivered; its first request takes a slot from now on. */
-  void noteOpening(const Packet::FlowKey& aKey,
-                   GatedFlow& aFlow,
-                   bool aIsLong,
-                   Core::TimePoint aNow);
   /** The flow is of a class that keeps flows open. */
   void noteLong(GatedFlow& aFlow, bool aIsLong);
-  void noteCallerData(GatedFlow& aFlow,
-                      std::uint32_t aSequence,
-                      std::uint32_t aSlots,
-                      Core::TimePoint aNow);
+  /** A new flow is delivered; its first request takes a slot from now on. */
+  void expectRequest(const Packet::FlowKey& aKey,
+                     GatedFlow& aFlow,
+                     Core::TimePoint aNow);
+  /** Notes data of the caller; true for data that did not come before. */
+  static bool noteCallerData(GatedFlow& aFlow, std::uint32_t aSequence);
+  /** The request waits at the agent. */
+  void noteHeld(GatedFlow& aFlow);
+  void noteDelivered(GatedFlow& aFlow, Core::TimePoint aNow);
   void noteAnswer(GatedFlow& aFlow, Core::TimePoint aNow);
   /** The backend server ended the flow. */
   void noteEnd(GatedFlow& aFlow);
@@ -76,10 +88,12 @@
   /** Gives slots back that nobody will use; forgets idle flows. */
   void expire(Core::TimePoint aNow);
 
-  std::uint32_t inProgress() const { return mInProgress; }
-  /** How long a new request would wait for one of so many slots. */
-  std::chrono::milliseconds expectedWait(std::uint32_t aSlots) const;
-  ReportedLoad load() const;
+  /** Requests that the backend server has. */
+  std::uint32_t delivered() const { return mDelivered; }
+  /** Requests that the backend server has or will have in a moment. */
+  std::uint32_t inProgress() const { return mDelivered + mExpected; }
+  std::uint32_t longFlows() const { return mLongFlows; }
+  std::chrono::milliseconds serviceTime() const;
   std::size_t size() const { return mFlows.size(); }
 
 private:
@@ -91,14 +105,15 @@
 
   void endUnused(Core::TimePoint aNow);
   void sweep(Core::TimePoint aNow);
-  void endRequest(GatedFlow& aFlow);
+  void setRequest(GatedFlow& aFlow, RequestState aState);
 
   absl::flat_hash_map<Packet::FlowKey, GatedFlow> mFlows;
   /** Flows that were opened, in that order. */
   std::deque<Opened> mOpened;
-  std::uint32_t mInProgress = 0;
+  std::uint32_t mExpected = 0;
+  std::uint32_t mDelivered = 0;
   std::uint32_t mLongFlows = 0;
-  /** Smoothed time of requests that began at once. */
+  /** Smoothed time from delivery to answer. */
   std::chrono::duration<double, std::milli> mServiceTime{ kFirstServiceTime };
   Core::TimePoint mSweptAt{};
 };
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -114,6 +114,19 @@
     });
 }
 
+const Candidate*
+selectForLate(absl::Span<const Candidate> aCandidates)
+{
+  const auto best =
+    std::min_element(aCandidates.begin(),
+                     aCandidates.end(),
+                     [](const Candidate& aLeft, const Candidate& aRight) {
+                       return aLeft.load->allRequests() / slotsOf(aLeft) <
+                              aRight.load->allRequests() / slotsOf(aRight);
+                     });
+  return best == aCandidates.end() ? nullptr : &*best;
+}
+
 std::chrono::milliseconds
 expectedWait(const Candidate& aCandidate)
 {
--- a/src/libs/steering/targetselection.h
+++ b/src/libs/steering/targetselection.h
@@ -33,6 +33,13 @@
              FlowHabit aHabit,
              std::uint64_t aFlowHash);
 
+/**
+ * Answers overload: picks the target where a request that is late already
+ * waits behind the fewest others; null when there is no candidate.
+ */
+const Candidate*
+selectForLate(absl::Span<const Candidate> aCandidates);
+
 /**
  * Answers overload: the time that a request would wait for a slot, by what
  * the target last reported.
