--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -17,7 +17,8 @@
 constexpr std::uint8_t kLongFlow = 0x04;
 constexpr std::uint8_t kUnavailable = 0x08;
 /** Behind magic, kind, flags and reason. */
-constexpr std::size_t kFieldsAt = 4;
+constexpr std::size_t kRevisionAt = 4;
+constexpr std::size_t kFieldsAt = 8;
 constexpr std::size_t kNoticeBytes = 16;
 
 std::uint8_t
@@ -102,6 +103,7 @@
   head[1] = static_cast<std::uint8_t>(kind);
   head[2] = flagsOf(*this);
   head[3] = static_cast<std::uint8_t>(reason);
+  Packet::store32(&head[kRevisionAt], mapRevision);
   if (isFromBalancer(kind)) {
     storeRequest(*this, &head[kFieldsAt]);
   } else {
@@ -127,6 +129,7 @@
   message.reason = static_cast<HandBackReason>(aData[3]);
   message.wantsNotice = (flags & kWantsNotice) != 0;
   message.isLongFlow = (flags & kLongFlow) != 0;
+  message.mapRevision = Packet::load32(&aData[kRevisionAt]);
   if (isFromBalancer(message.kind)) {
     loadRequest(&aData[kFieldsAt], message);
   } else {
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -65,7 +65,7 @@
  */
 struct AgentMessage
 {
-  static constexpr std::size_t kBytes = 16;
+  static constexpr std::size_t kBytes = 20;
 
   MessageKind kind = MessageKind::Probe;
   HandBackReason reason = HandBackReason::None;
@@ -73,6 +73,11 @@
   bool wantsNotice = false;
   /** Forward: the flow is of a class that keeps flows open. */
   bool isLongFlow = false;
+  /**
+   * The newest revision of the map that the sender knows of, its low 32 bits.
+   * A balancer thus learns that others know more than it does.
+   */
+  std::uint32_t mapRevision = 0;
   /** Forward: tells services apart; see FleetMap::serviceTag(). */
   std::uint32_t serviceTag = 0;
   /** Forward: slots of the backend server as the balancer knows them. */
--- a/src/libs/steering/fleetmap.cpp
+++ b/src/libs/steering/fleetmap.cpp
@@ -1,5 +1,7 @@
 #include "steering/fleetmap.h"
 
+#include <algorithm>
+
 namespace Steering {
 
 const Route*
@@ -25,6 +27,18 @@
   return mServices[mTargets.at(endpointKey(aAgent)).first];
 }
 
+bool
+FleetMap::serves(const Route& aRoute, const Core::Endpoint& aAgent) const
+{
+  const auto it = mTargets.find(endpointKey(aAgent));
+  return it != mTargets.end() &&
+         std::any_of(aRoute.shares.begin(),
+                     aRoute.shares.end(),
+                     [&it](const RouteShare& aShare) {
+                       return aShare.service == it->second.first;
+                     });
+}
+
 std::size_t
 FleetMap::acceptingCount() const
 {
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -114,6 +114,8 @@
   const Target* findTarget(const Core::Endpoint& aAgent) const;
   /** The service of an agent that findTarget() knows. */
   const Service& serviceOf(const Core::Endpoint& aAgent) const;
+  /** True when the agent stands beside a target of the route's services. */
+  bool serves(const Route& aRoute, const Core::Endpoint& aAgent) const;
   std::size_t acceptingCount() const;
 
   /** 32 bits of a hash of the service's name; the same in every process. */
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -46,11 +46,8 @@
     mOpenings.retryWaiting(aNow);
   }
 
-  /**
-   * Tells whether the map is known to be the newest; without that no caller
-   * is told that a route or a flow does not exist.
-   */
-  void setMapIsCurrent(bool aIsCurrent) { mContext.isMapCurrent = aIsCurrent; }
+  /** Tells whether the platform answers, so that changes would be known. */
+  void setInTouch(bool aIsInTouch) { mContext.isInTouch = aIsInTouch; }
 
   const FleetMapPointer& map() const { return mContext.map; }
   const SteeringCounters& counters() const { return mContext.counters; }
@@ -84,6 +81,8 @@
       return;
     }
     mContext.loads.noteReport(aFrom, message->load, aNow);
+    mContext.newestRevision =
+      std::max(mContext.newestRevision, message->mapRevision);
     const auto body = aData.subspan(AgentMessage::kBytes);
     switch (message->kind) {
       case MessageKind::HandBack:
@@ -157,7 +156,7 @@
     if (mContext.map != nullptr && route == nullptr) {
       mContext.counters.increment(SteeringCounter::PacketsWithoutRoute);
       mContext.flows.erase(flow);
-      if (mContext.isMapCurrent && !aPacket.isReset()) {
+      if (mContext.isMapCurrent() && !aPacket.isReset()) {
         mContext.resetUnknown(aPacket, "no route");
       }
       return;
--- a/src/libs/steering/loadtable.cpp
+++ b/src/libs/steering/loadtable.cpp
@@ -25,7 +25,8 @@
 LoadTable::noteFlow(const Core::Endpoint& aAgent, bool aIsLong)
 {
   auto& belief = entryOf(aAgent).belief;
-  aIsLong ? ++belief.unreportedLong : ++belief.unreportedShort;
+  ++belief.unreported;
+  belief.unreportedLong += aIsLong ? 1 : 0;
 }
 
 void
@@ -39,7 +40,7 @@
   }
   belief.reported = aLoad;
   belief.reportedAt = aNow;
-  belief.unreportedShort = 0;
+  belief.unreported = 0;
   belief.unreportedLong = 0;
   belief.askedAt = {};
   belief.suspectedAt = {};
--- a/src/libs/steering/loadtable.h
+++ b/src/libs/steering/loadtable.h
@@ -17,8 +17,9 @@
 {
   ReportedLoad reported;
   Core::TimePoint reportedAt{};
-  /** Own flows of each habit that no report can show yet. */
-  std::uint32_t unreportedShort = 0;
+  /** Own new flows that no report can show yet; each brings a request. */
+  std::uint32_t unreported = 0;
+  /** Those of them that stay open. */
   std::uint32_t unreportedLong = 0;
   /** When the oldest message without an answer was sent; null for none. */
   Core::TimePoint askedAt{};
@@ -27,10 +28,7 @@
   /** No new flow before, since the agent said so. */
   Core::TimePoint unavailableUntil{};
 
-  std::uint32_t inProgress() const
-  {
-    return reported.inProgress + unreportedShort;
-  }
+  std::uint32_t inProgress() const { return reported.inProgress + unreported; }
   /** Late ones as well. */
   std::uint32_t allRequests() const
   {
--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Steering {
@@ -101,22 +102,23 @@
   void retryWaiting(Core::TimePoint aNow)
   {
     mRetriedAt = aNow;
-    absl::flat_hash_set<const Service*> full;
+    // Where a fresh one finds no room no other does; late ones still may.
+    absl::flat_hash_set<std::pair<const Service*, bool>> full;
     const auto freshTime = [this](const auto& aFlow) {
       const auto* route = mContext.findRoute(aFlow);
       return route == nullptr ? std::chrono::milliseconds(0)
                               : route->latencyObjective;
     };
-    for (const auto& flow : mPending.waiting(freshTime, aNow)) {
+    for (const auto& [flow, isFresh] : mPending.waiting(freshTime, aNow)) {
       auto* pending = mPending.find(flow);
-      const auto* service = serviceOf(flow);
-      if (pending == nullptr || full.contains(service)) {
+      const auto kind = std::make_pair(serviceOf(flow), isFresh);
+      if (pending == nullptr || full.contains(kind)) {
         continue;
       }
       place(*pending, aNow);
       pending = mPending.find(flow);
       if (pending != nullptr && pending->isWaiting()) {
-        full.insert(service);
+        full.insert(kind);
       }
     }
   }
@@ -185,7 +187,7 @@
     const auto flow = aPending.flow;
     const auto* route = mContext.findRoute(flow);
     if (route == nullptr) {
-      if (mContext.isMapCurrent) {
+      if (mContext.isMapCurrent()) {
         mContext.resetUnknown(*packet, "no route");
       }
       mPending.erase(flow);
--- a/src/libs/steering/pendingopenings.cpp
+++ b/src/libs/steering/pendingopenings.cpp
@@ -70,7 +70,7 @@
   return flows;
 }
 
-std::vector<Packet::FlowKey>
+std::vector<PendingOpenings::Waiting>
 PendingOpenings::waiting(const FreshTime& aFreshTime,
                          Core::TimePoint aNow) const
 {
@@ -93,10 +93,10 @@
       return aLeft.isFresh ? aLeft.opening->firstAt > aRight.opening->firstAt
                            : aLeft.opening->firstAt < aRight.opening->firstAt;
     });
-  std::vector<Packet::FlowKey> flows;
+  std::vector<Waiting> flows;
   flows.reserve(list.size());
   for (const auto& it : list) {
-    flows.push_back(it.opening->flow);
+    flows.push_back({ it.opening->flow, it.isFresh });
   }
   return flows;
 }
--- a/src/libs/steering/pendingopenings.h
+++ b/src/libs/steering/pendingopenings.h
@@ -71,12 +71,18 @@
   /** Tells how old an opening may be for an answer in time. */
   using FreshTime =
     std::function<std::chrono::milliseconds(const Packet::FlowKey&)>;
+  struct Waiting
+  {
+    Packet::FlowKey flow;
+    /** It can still be answered in time. */
+    bool isFresh = false;
+  };
   /**
-   * Flows without a target: first those that can still be answered in time,
-   * the newest in front; then the others, the oldest in front.
+   * Flows without a target: first the fresh ones, the newest in front; then
+   * the others, the oldest in front.
    */
-  std::vector<Packet::FlowKey> waiting(const FreshTime& aFreshTime,
-                                       Core::TimePoint aNow) const;
+  std::vector<Waiting> waiting(const FreshTime& aFreshTime,
+                               Core::TimePoint aNow) const;
   std::size_t waitingCount() const;
 
 private:
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -49,7 +49,7 @@
     const bool isLost =
       !known->isConfirmed && mContext.loads.isSuspected(known->agent, aNow);
     if (known->agent.isNull() || isLost ||
-        mContext.map->findTarget(known->agent) == nullptr) {
+        !mContext.map->serves(aRoute, known->agent)) {
       known->declined.add(known->agent);
       askNext(aPacket, aFlow, aRoute, *known, aNow);
       return;
@@ -141,7 +141,7 @@
     }
     const bool isSettled = aNow >= mContext.settledAt ||
                            aNow - aMemory.exhaustedAt >= kSearchAgainAfter;
-    if (mContext.isMapCurrent && aHaveAllDeclined && isSettled) {
+    if (mContext.isMapCurrent() && aHaveAllDeclined && isSettled) {
       mContext.resetUnknown(aPacket, "no target holds the flow");
       mContext.flows.erase(aFlow);
     }
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -56,6 +56,17 @@
   {
   }
 
+  std::uint32_t mapRevision() const
+  {
+    return map == nullptr ? 0 : static_cast<std::uint32_t>(map->revision());
+  }
+
+  /** Without this no caller is told that a route or flow does not exist. */
+  bool isMapCurrent() const
+  {
+    return isInTouch && map != nullptr && newestRevision <= mapRevision();
+  }
+
   /** Null without a map or for an address of no route. */
   const Route* findRoute(const Packet::FlowKey& aFlow) const
   {
@@ -71,17 +82,19 @@
                const RememberedFlow& aMemory,
                std::chrono::milliseconds aAge = {})
   {
-    const auto* target = map->findTarget(aMemory.agent);
-    if (target == nullptr) {
+    if (!map->serves(aRoute, aMemory.agent)) {
+      // Its address may have gone to another service.
       counters.increment(SteeringCounter::PacketsWithoutTarget);
       return;
     }
     AgentMessage message;
     message.kind = MessageKind::Forward;
+    message.mapRevision = mapRevision();
     message.wantsNotice = !aMemory.isConfirmed;
     message.isLongFlow = aRoute.habit == FlowHabit::ManyRequests;
     message.serviceTag = map->serviceOf(aMemory.agent).tag;
-    message.slots = static_cast<std::uint16_t>(target->slots);
+    message.slots =
+      static_cast<std::uint16_t>(map->findTarget(aMemory.agent)->slots);
     message.age = aAge;
     message.latencyObjective = aRoute.latencyObjective;
     message.timeout = aRoute.timeout;
@@ -98,6 +111,7 @@
     mBuffer.clear();
     AgentMessage message;
     message.kind = MessageKind::Probe;
+    message.mapRevision = mapRevision();
     message.appendTo(mBuffer);
     port.sendToAgent(aAgent, mBuffer);
   }
@@ -123,8 +137,10 @@
   SteererIdentity self;
   Telemetry::EventLog& events;
   FleetMapPointer map;
-  /** The map is known to be the newest. */
-  bool isMapCurrent = false;
+  /** The platform answers, so that the map should be the newest. */
+  bool isInTouch = false;
+  /** The newest revision that any agent has heard of. */
+  std::uint32_t newestRevision = 0;
   /** Before this a target may exist that the map does not show yet. */
   Core::TimePoint settledAt{};
   FlowMemory flows;
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -118,6 +118,7 @@
       return;
     }
     auto& balancer = balancerOf(aFrom, aNow);
+    mNewestRevision = std::max(mNewestRevision, message->mapRevision);
     if (message->kind == MessageKind::Probe) {
       sendReport(balancer, aNow);
       return;
@@ -467,6 +468,7 @@
     AgentMessage message;
     message.kind = MessageKind::HandBack;
     message.reason = aReason;
+    message.mapRevision = mNewestRevision;
     message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
@@ -487,6 +489,7 @@
     }
     AgentMessage message;
     message.kind = MessageKind::OwnerNotice;
+    message.mapRevision = mNewestRevision;
     message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
@@ -499,6 +502,7 @@
   {
     AgentMessage message;
     message.kind = MessageKind::LoadReport;
+    message.mapRevision = mNewestRevision;
     message.load = load(aNow);
     mBuffer.clear();
     message.appendTo(mBuffer);
@@ -595,6 +599,8 @@
   std::vector<Balancer> mBalancers;
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mTokens;
   std::uint32_t mSlots = 1;
+  /** Of the maps of all balancers. */
+  std::uint32_t mNewestRevision = 0;
   std::size_t mToldLast = 0;
   int mUnanswered = 0;
   Core::TimePoint mTriedAt{};
--- a/tests/auto/steering/tst_targetgate.cpp
+++ b/tests/auto/steering/tst_targetgate.cpp
@@ -485,6 +485,20 @@
   CHECK(f.port.delivered.size() == before + 1);
 }
 
+TEST_CASE("an agent passes on the newest revision that a balancer told")
+{
+  Fixture f;
+  AgentMessage probe;
+  probe.kind = MessageKind::Probe;
+  for (const std::uint32_t revision : { 5, 9, 7 }) {
+    probe.mapRevision = revision;
+    Bytes bytes;
+    probe.appendTo(bytes);
+    f.gate.handleBalancerMessage(kBalancer, bytes, f.now);
+  }
+  CHECK(f.port.toBalancers.back().message.mapRevision == 9);
+}
+
 TEST_CASE("loads are reported on change, within a budget")
 {
   Fixture f;
--- /dev/null
+++ b/tests/flowworld/packetwriter.cpp
@@ -0,0 +1,80 @@
+#include "flowworld/packetwriter.h"
+
+#include "platform/datagram.h"
+#include "platform/datagramfields.h"
+
+namespace FlowWorld {
+
+using namespace Platform::Internal;
+
+PacketWriter::PacketWriter(const Core::Endpoint& aFrom,
+                           const Core::Endpoint& aTo)
+  : mFrom(aFrom)
+  , mTo(aTo)
+{
+}
+
+PacketWriter
+PacketWriter::toService(const Packet::FlowKey& aFlow)
+{
+  return PacketWriter(aFlow.caller, aFlow.service);
+}
+
+PacketWriter
+PacketWriter::toCaller(const Packet::FlowKey& aFlow)
+{
+  return PacketWriter(aFlow.service, aFlow.caller);
+}
+
+PacketWriter&
+PacketWriter::flags(std::uint8_t aFlags)
+{
+  mFlags = aFlags;
+  return *this;
+}
+
+PacketWriter&
+PacketWriter::sequence(std::uint32_t aSequence)
+{
+  mSequence = aSequence;
+  return *this;
+}
+
+PacketWriter&
+PacketWriter::acknowledgment(std::uint32_t aAcknowledgment)
+{
+  mAcknowledgment = aAcknowledgment;
+  return *this;
+}
+
+PacketWriter&
+PacketWriter::data(const std::string& aData)
+{
+  mData = aData;
+  return *this;
+}
+
+Bytes
+PacketWriter::write() const
+{
+  Bytes bytes(Platform::Datagram::kHeadBytes);
+  auto* head = bytes.data();
+  storeLittle16(head + kLengthAt, static_cast<std::uint16_t>(mData.size()));
+  storeLittle32(head + kSequenceAt, mSequence);
+  storeLittle32(head + kAcknowledgmentAt, mAcknowledgment);
+  head[kFlagsAt] = mFlags;
+  storeLittle32(head + kDestinationAddressAt, mTo.address);
+  storeLittle32(head + kSourceAddressAt, mFrom.address);
+  storeLittle16(head + kDestinationPortAt, mTo.port);
+  storeLittle16(head + kSourcePortAt, mFrom.port);
+  bytes.insert(bytes.end(), mData.begin(), mData.end());
+  return bytes;
+}
+
+std::string
+dataOf(const Bytes& aPacket)
+{
+  return { aPacket.begin() + Platform::Datagram::kHeadBytes, aPacket.end() };
+}
+
+} // namespace FlowWorld
