Steering: Take silence for no refusal, ask one target for copies that meet

Change: a copy leaves a target only after the time in which it may answer; a flow is refused only when each target said that it does not take it.

--- a/src/libs/steering/flowmemory.h
+++ b/src/libs/steering/flowmemory.h
@@ -37,10 +37,10 @@
 {
   /** The agent whose backend server has the flow, as far as known. */
   Core::Endpoint agent;
-  /** Agents that are passed over: they declined, or did not answer. */
-  AgentList declined;
-  /** Agents that said that they do not hold the open flow. */
-  AgentList notHeldBy;
+  /** Agents that are not asked again: they declined, or did not answer. */
+  AgentList passedOver;
+  /** Agents that said that they do not take or hold the flow. */
+  AgentList declinedBy;
   /** How often an agent had no room for it since it last waited. */
   int turnedAway = 0;
   absl::InlinedVector<Offer, 1> offers;
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -223,8 +223,8 @@
     mContext.counters.increment(SteeringCounter::FlowsFound, isFound ? 1 : 0);
     memory.agent = aFrom;
     memory.isConfirmed = true;
-    memory.declined.clear();
-    memory.notHeldBy.clear();
+    memory.passedOver.clear();
+    memory.declinedBy.clear();
     memory.exhaustedAt = {};
   }
 
--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -65,7 +65,9 @@
     } else {
       mContext.counters.increment(SteeringCounter::OpeningsRepeated);
       mPending.noteCopy(*pending, aPacket.copyNumber(), aNow);
-      if (pending->isWaiting()) {
+      const bool mayStillAnswer =
+        aNow - pending->sentAt < LoadTable::kAnswerTimeout;
+      if (pending->isWaiting() || mayStillAnswer) {
         return;
       }
       leaveSilent(*pending, aNow);
@@ -84,7 +86,12 @@
       mContext.counters.increment(SteeringCounter::FlowsTurnedAway);
       ++memory.turnedAway;
     } else {
-      memory.declined.add(aFrom);
+      memory.passedOver.add(aFrom);
+    }
+    if (aReason == HandBackReason::Refused ||
+        aReason == HandBackReason::WrongService ||
+        aReason == HandBackReason::Leaving) {
+      memory.declinedBy.add(aFrom);
     }
     auto* pending = mPending.find(aFlow);
     if (pending == nullptr || pending->agent != aFrom) {
@@ -173,7 +180,7 @@
     if (mContext.loads.isSuspected(aPending.agent, aNow)) {
       mContext.counters.increment(SteeringCounter::TargetsSuspected);
     }
-    memoryOf(aPending.flow, aNow).declined.add(aPending.agent);
+    memoryOf(aPending.flow, aNow).passedOver.add(aPending.agent);
     aPending.agent = {};
   }
 
@@ -197,12 +204,13 @@
     const auto hash = flowHash(flow);
     const auto& service = mContext.map->services()[selectService(*route, hash)];
     collectCandidates(service, memory, aNow);
-    const bool isRefusedByAll = mCandidates.empty() &&
-                                memory.declined.size() > 0 &&
-                                isDeclinedByAll(service, memory, aNow);
-    if (isRefusedByAll) {
-      refuse(*packet, flow, service);
-      return;
+    if (mCandidates.empty()) {
+      if (isDeclinedByAll(service, memory, aNow)) {
+        refuse(*packet, flow, service);
+        return;
+      }
+      // Those that were silent may be asked again once they answer.
+      memory.passedOver = memory.declinedBy;
     }
     if (memory.turnedAway < kMostTries) {
       send(aPending, *packet, *route, memory, hash, aNow);
@@ -258,7 +266,7 @@
     mCandidates.clear();
     for (const auto& target : aService.targets) {
       const bool isOut = !target.takesNewFlows(aNow) ||
-                         aMemory.declined.contains(target.agent) ||
+                         aMemory.passedOver.contains(target.agent) ||
                          !mContext.loads.isUsable(target.agent, aNow);
       if (!isOut) {
         mCandidates.push_back({ &target,
@@ -269,18 +277,25 @@
     }
   }
 
-  /** Each target that may take new flows was asked and declined. */
+  /**
+   * Each target that may take new flows said that it does not take this one.
+   * One that was silent may have answered the caller all the same.
+   */
   static bool isDeclinedByAll(const Service& aService,
                               const RememberedFlow& aMemory,
                               Core::TimePoint aNow)
   {
+    bool isAnyAsked = false;
     for (const auto& target : aService.targets) {
-      if (target.takesNewFlows(aNow) &&
-          !aMemory.declined.contains(target.agent)) {
+      if (!target.takesNewFlows(aNow)) {
+        continue;
+      }
+      isAnyAsked = true;
+      if (!aMemory.declinedBy.contains(target.agent)) {
         return false;
       }
     }
-    return true;
+    return isAnyAsked;
   }
 
   void refuse(const PacketType& aPacket,
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -19,10 +19,10 @@
 
   /**
    * While targets come, a flow that nobody holds is reset only when a second
-   * search so much later ends in the same way. A balancer in touch hears of a
-   * new target within a quarter of a second; twice that is sure.
+   * search so much later ends in the same way: twice the time for which a
+   * balancer in touch may gather changes.
    */
-  static constexpr std::chrono::milliseconds kSearchAgainAfter{ 500 };
+  static constexpr std::chrono::milliseconds kSearchAgainAfter{ 800 };
 
   explicit SearchSide(SteererContext<Format, Port>& aContext)
     : mContext(aContext)
@@ -50,7 +50,7 @@
       !known->isConfirmed && mContext.loads.isSuspected(known->agent, aNow);
     if (known->agent.isNull() || isLost ||
         !mContext.map->serves(aRoute, known->agent)) {
-      known->declined.add(known->agent);
+      known->passedOver.add(known->agent);
       askNext(aPacket, aFlow, aRoute, *known, aNow);
       return;
     }
@@ -73,8 +73,8 @@
       mContext.forward(aPacket, aRoute, memory);
       return;
     }
-    memory.declined.add(aFrom);
-    memory.notHeldBy.add(aFrom);
+    memory.passedOver.add(aFrom);
+    memory.declinedBy.add(aFrom);
     askNext(aPacket, aFlow, aRoute, memory, aNow);
   }
 
@@ -114,8 +114,8 @@
     bool haveAllDeclined = !order.empty();
     for (const auto* target : order) {
       const auto& agent = target->agent;
-      haveAllDeclined = haveAllDeclined && aMemory.notHeldBy.contains(agent);
-      if (!aMemory.declined.contains(agent) &&
+      haveAllDeclined = haveAllDeclined && aMemory.declinedBy.contains(agent);
+      if (!aMemory.passedOver.contains(agent) &&
           !mContext.loads.isSuspected(agent, aNow)) {
         aMemory.agent = agent;
         mContext.loads.noteAsked(agent, aNow);
@@ -134,8 +134,8 @@
                      bool aHaveAllDeclined,
                      Core::TimePoint aNow)
   {
-    aMemory.declined.clear();
-    aMemory.notHeldBy.clear();
+    aMemory.passedOver.clear();
+    aMemory.declinedBy.clear();
     if (aMemory.exhaustedAt == Core::TimePoint{}) {
       aMemory.exhaustedAt = aNow;
     }
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -315,6 +315,29 @@
   CHECK(f.port.toCallers.size() == 1);
 }
 
+TEST_CASE("copies of an opening that come together ask one target")
+{
+  Fixture f;
+  f.open(1);
+  f.now += 1ms;
+  f.open(1, 1);
+  f.open(1, 2);
+  CHECK(f.port.toAgents.size() == 1);
+}
+
+TEST_CASE("the silence of every target is no refusal")
+{
+  Fixture f;
+  f.open(1);
+  for (const std::uint32_t copy : { 1, 2 }) {
+    f.now += copy * 200ms;
+    f.open(1, copy);
+  }
+  f.now += 150ms;
+  f.engine.tick(f.now);
+  CHECK(f.port.toCallers.empty());
+}
+
 TEST_CASE("a repeated opening leaves the target that was silent")
 {
   Fixture f;
@@ -457,10 +480,10 @@
   f.adopt({ 1, 2, 4 });
   searchInVain(f);
   CHECK(f.port.toCallers.empty());
-  f.now += 250ms;
+  f.now += 400ms;
   searchInVain(f);
   CHECK(f.port.toCallers.empty());
-  f.now += 250ms;
+  f.now += 400ms;
   searchInVain(f);
   CHECK(f.port.toCallers.size() == 1);
 }
