Telemetry: Write a line for each decision about a flow, and trace a flow

Cause: the users' engineers on call have only logs and metrics, and the log had a line for odd cases alone. Change: lines are JSON objects on the standard output with fields of their own, written by a task of their own through a bounded queue that drops and counts; each event has a budget a second. Balancers tell placing, searching, finding, handing back, refusing and resetting; agents tell admitting, turning away, holding, answering. One number names a flow in all processes, since it follows from its addresses. lacewingctl trace puts the logs together and tells where clocks disagree. Agents serve histograms of the time with the backend server.

--- a/src/lacewingctl/commands.h
+++ b/src/lacewingctl/commands.h
@@ -39,3 +39,7 @@
 /** Prints the histograms of running processes. */
 int
 runHistogram(const CommandLine& aLine);
+
+/** Prints what logs tell about one flow, in order of time. */
+int
+runTrace(const CommandLine& aLine);
--- a/src/lacewingctl/main.cpp
+++ b/src/lacewingctl/main.cpp
@@ -17,6 +17,7 @@
   "                                 where a flow would go, and why\n"
   "  status A:P...                  state of running processes\n"
   "  histogram A:P...               flow durations by class and member\n"
+  "  trace FLOW|CALLER FILE...      what logs tell about one flow\n"
   "\n"
   "Exit codes: 0 yes, 1 no, 2 usage, 3 a file or process cannot be read.\n";
 
@@ -89,6 +90,9 @@
   if (command == "histogram") {
     return runHistogram(line);
   }
+  if (command == "trace") {
+    return runTrace(line);
+  }
   std::cerr << kUsageText;
   return kUsage;
 }
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -95,6 +95,28 @@
 
 } // namespace
 
+const char*
+nameOf(HandBackReason aReason)
+{
+  switch (aReason) {
+    case HandBackReason::None:
+      return "none";
+    case HandBackReason::Full:
+      return "no free slot in time";
+    case HandBackReason::Refused:
+      return "refused by the backend server";
+    case HandBackReason::NotHeld:
+      return "not held by the backend server";
+    case HandBackReason::WrongService:
+      return "another service";
+    case HandBackReason::Silent:
+      return "the backend server is silent";
+    case HandBackReason::Leaving:
+      return "the agent is stopping";
+  }
+  return "unknown";
+}
+
 void
 AgentMessage::appendTo(std::vector<std::uint8_t>& aBuffer) const
 {
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -44,6 +44,10 @@
   Leaving = 6,
 };
 
+/** The reason in words, for logs. */
+const char*
+nameOf(HandBackReason aReason);
+
 /** An agent's load, told in each of its messages. */
 struct ReportedLoad
 {
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -185,6 +185,11 @@
     }
     mContext.counters.increment(SteeringCounter::PacketsHandedBack);
     const auto flow = packet->flowToService();
+    mContext.events.write(Telemetry::Event::PacketHandedBack, [&] {
+      return mContext.flowFields(flow)
+        .add("agent", Core::formatEndpoint(aFrom))
+        .add("why", nameOf(aReason));
+    });
     const auto* route = mContext.findRoute(flow);
     if (route == nullptr) {
       mContext.counters.increment(SteeringCounter::PacketsWithoutRoute);
@@ -220,7 +225,13 @@
       memory.offers.push_back({ aFrom, notice->sequence });
     }
     const bool isFound = memory.isEstablished && !memory.isConfirmed;
-    mContext.counters.increment(SteeringCounter::FlowsFound, isFound ? 1 : 0);
+    if (isFound) {
+      mContext.counters.increment(SteeringCounter::FlowsFound);
+      mContext.events.write(Telemetry::Event::FlowFound, [&] {
+        return mContext.flowFields(notice->flow)
+          .add("agent", Core::formatEndpoint(aFrom));
+      });
+    }
     memory.agent = aFrom;
     memory.isConfirmed = true;
     memory.passedOver.clear();
--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -179,6 +179,10 @@
   {
     if (mContext.loads.isSuspected(aPending.agent, aNow)) {
       mContext.counters.increment(SteeringCounter::TargetsSuspected);
+      mContext.events.write(Telemetry::Event::TargetSuspected, [&] {
+        return mContext.flowFields(aPending.flow)
+          .add("agent", Core::formatEndpoint(aPending.agent));
+      });
     }
     memoryOf(aPending.flow, aNow).passedOver.add(aPending.agent);
     aPending.agent = {};
@@ -240,12 +244,38 @@
     counters.increment(SteeringCounter::FlowsChosen);
     counters.increment(SteeringCounter::FlowsAcrossZones,
                        chosen->isOwnZone ? 0 : 1);
+    notePlaced(aPending.flow, *chosen, age, aNow);
     mContext.loads.noteAsked(aMemory.agent, aNow);
     mContext.loads.noteFlow(aMemory.agent,
                             aRoute.habit == FlowHabit::ManyRequests);
     mContext.forward(aPacket, aRoute, aMemory, age);
   }
 
+  void notePlaced(const Packet::FlowKey& aFlow,
+                  const Candidate& aChosen,
+                  std::chrono::milliseconds aAge,
+                  Core::TimePoint aNow)
+  {
+    mContext.events.write(Telemetry::Event::FlowPlaced, [&] {
+      const auto& load = *aChosen.load;
+      auto fields = mContext.flowFields(aFlow);
+      fields.add("agent", Core::formatEndpoint(aChosen.target->agent))
+        .add("target", aChosen.target->name)
+        .add("candidates", mCandidates.size())
+        .add("inProgress", load.inProgress())
+        .add("longFlows", load.longFlows())
+        .add("zone", aChosen.target->zone)
+        .add("waitedMs", aAge)
+        .add("revision", mContext.map->revision());
+      if (load.reportedAt != Core::TimePoint{}) {
+        fields.add("loadAgeMs",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                     aNow - load.reportedAt));
+      }
+      return fields;
+    });
+  }
+
   /** A target that can answer in time; null when there is none. */
   const Candidate* selectForFresh(const Route& aRoute, std::uint64_t aHash)
   {
@@ -303,11 +333,13 @@
               const Service& aService)
   {
     mContext.counters.increment(SteeringCounter::FlowsRefused);
-    mContext.events.write(Telemetry::Event::FlowRefused,
-                          absl::StrCat(Packet::formatFlowKey(aFlow),
-                                       " service ",
-                                       aService.name,
-                                       ": no target takes it"));
+    mContext.events.write(Telemetry::Event::FlowRefused, [&] {
+      return mContext.flowFields(aFlow)
+        .add("name", aService.name)
+        .add("why", "no target takes it")
+        .add("targets", aService.targets.size())
+        .add("revision", mContext.map->revision());
+    });
     mContext.sendReset(aPacket);
     mContext.flows.erase(aFlow);
     mPending.erase(aFlow);
@@ -318,11 +350,13 @@
   {
     for (const auto& it : mPending.takeExpired(aNow)) {
       mContext.counters.increment(SteeringCounter::OpeningsExpired);
-      mContext.events.write(Telemetry::Event::OpeningExpired,
-                            absl::StrCat(Packet::formatFlowKey(it.flow),
-                                         it.isWaiting()
-                                           ? ": no target had room"
-                                           : ": its target did not answer"));
+      mContext.events.write(Telemetry::Event::OpeningExpired, [&] {
+        return mContext.flowFields(it.flow)
+          .add("why",
+               it.isWaiting() ? "no target had room"
+                              : "its target did not answer")
+          .add("agent", Core::formatEndpoint(it.agent));
+      });
     }
   }
 
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -85,6 +85,10 @@
              Core::TimePoint aNow)
   {
     mContext.counters.increment(SteeringCounter::FlowsSearched);
+    mContext.events.write(Telemetry::Event::FlowSearched, [&] {
+      return mContext.flowFields(aFlow).add("revision",
+                                            mContext.map->revision());
+    });
     auto& memory = mContext.flows.insert(aFlow, aNow);
     memory.isEstablished = true;
     askNext(aPacket, aFlow, aRoute, memory, aNow);
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -3,6 +3,7 @@
 #include "steering/agentmessage.h"
 #include "steering/attemptschedule.h"
 #include "steering/fleetmap.h"
+#include "steering/flowhash.h"
 #include "steering/flowmemory.h"
 #include "steering/loadtable.h"
 #include "steering/packetformat.h"
@@ -10,7 +11,6 @@
 
 #include "telemetry/eventlog.h"
 
-#include <absl/strings/str_cat.h>
 #include <absl/types/span.h>
 
 #include <chrono>
@@ -123,13 +123,25 @@
     port.sendToCaller(aPacket.flowToService().caller, bytes);
   }
 
+  /** The first fields of each line about a flow. */
+  static Telemetry::EventFields flowFields(const Packet::FlowKey& aFlow)
+  {
+    Telemetry::EventFields fields;
+    fields.flow(flowHash(aFlow))
+      .add("caller", Core::formatEndpoint(aFlow.caller))
+      .add("service", Core::formatEndpoint(aFlow.service));
+    return fields;
+  }
+
   /** Resets a flow that exists nowhere. */
   void resetUnknown(const PacketType& aPacket, const char* aWhy)
   {
     counters.increment(SteeringCounter::FlowsReset);
-    events.write(
-      Telemetry::Event::FlowNotFound,
-      absl::StrCat(Packet::formatFlowKey(aPacket.flowToService()), ": ", aWhy));
+    events.write(Telemetry::Event::FlowNotFound, [&] {
+      return flowFields(aPacket.flowToService())
+        .add("why", aWhy)
+        .add("revision", map->revision());
+    });
     sendReset(aPacket);
   }
 
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -2,6 +2,7 @@
 
 #include "steering/agentmessage.h"
 #include "steering/fleetmap.h"
+#include "steering/flowhash.h"
 #include "steering/packetformat.h"
 #include "steering/requestqueue.h"
 #include "steering/slotwait.h"
@@ -9,9 +10,9 @@
 #include "steering/targetgateflows.h"
 
 #include "telemetry/eventlog.h"
+#include "telemetry/histogramset.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <absl/strings/str_cat.h>
 #include <absl/types/span.h>
 
 #include <algorithm>
@@ -81,11 +82,15 @@
    */
   static constexpr std::uint32_t kDeliveredAhead = 1;
 
-  TargetGate(Port& aPort, GateIdentity aSelf, Telemetry::EventLog& aEvents)
+  TargetGate(Port& aPort,
+             GateIdentity aSelf,
+             Telemetry::EventLog& aEvents,
+             Telemetry::HistogramSet& aHistograms)
     : mPort(aPort)
     , mSelf(std::move(aSelf))
     , mServiceTag(FleetMap::serviceTag(mSelf.service))
     , mEvents(aEvents)
+    , mHistograms(aHistograms)
   {
   }
   TargetGate(const TargetGate&) = delete;
@@ -216,10 +221,20 @@
       const auto reason = reasonAgainst(aMessage, aNow);
       if (reason != HandBackReason::None) {
         balancerOf(aFrom, aNow).isWaiting = reason == HandBackReason::Full;
+        mEvents.write(Telemetry::Event::FlowTurnedAway, [&] {
+          return flowFields(key, aNow)
+            .add("why", nameOf(reason))
+            .add("waitedMs", aMessage.age);
+        });
         handBack(aFrom, aPacket, reason, aNow);
         return;
       }
       mCounters.increment(SteeringCounter::FlowsAdmitted);
+      mEvents.write(Telemetry::Event::FlowAdmitted, [&] {
+        return flowFields(key, aNow)
+          .add("balancer", Core::formatEndpoint(aFrom))
+          .add("waitedMs", aMessage.age);
+      });
     }
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
@@ -346,6 +361,8 @@
     mQueue.add(std::move(request));
     mFlows.noteHeld(aFlow);
     mCounters.increment(SteeringCounter::RequestsHeld);
+    mEvents.write(Telemetry::Event::RequestHeld,
+                  [&] { return flowFields(aPacket.flowToService(), aNow); });
   }
 
   /** Gives free slots to what waits. */
@@ -385,7 +402,7 @@
     flow.isConfirmed = true;
     if (aPacket.carriesData()) {
       flow.startedAt = {};
-      mFlows.noteAnswer(flow, aNow);
+      noteAnswer(flow, aFlow, aNow);
       deliverHeld(aNow);
       tellNextWaiting(aNow);
     }
@@ -403,6 +420,42 @@
     }
   }
 
+  void noteAnswer(GatedFlow& aFlow,
+                  const Packet::FlowKey& aKey,
+                  Core::TimePoint aNow)
+  {
+    if (aFlow.request != RequestState::Delivered) {
+      return;
+    }
+    const auto taken = aNow - aFlow.deliveredAt;
+    mFlows.noteAnswer(aFlow, aNow);
+    mHistograms.add(mSelf.service,
+                    "class",
+                    aFlow.isLong ? "many-requests" : "one-request",
+                    taken);
+    mEvents.write(Telemetry::Event::RequestAnswered, [&] {
+      return flowFields(aKey, aNow)
+        .add("takenMs",
+             std::chrono::duration_cast<std::chrono::milliseconds>(taken));
+    });
+  }
+
+  /** The first fields of each line about a flow, with the load. */
+  Telemetry::EventFields flowFields(const Packet::FlowKey& aFlow,
+                                    Core::TimePoint aNow) const
+  {
+    Telemetry::EventFields fields;
+    fields.flow(flowHash(aFlow))
+      .add("caller", Core::formatEndpoint(aFlow.caller))
+      .add("service", Core::formatEndpoint(aFlow.service))
+      .add("delivered", mFlows.delivered())
+      .add("expected", mFlows.inProgress() - mFlows.delivered())
+      .add("waitingFresh", mQueue.freshCount(aNow))
+      .add("waiting", mQueue.size())
+      .add("slots", mSlots);
+    return fields;
+  }
+
   /** The backend server does not hold the flow, or refused to open it. */
   void handleReturned(const PacketType& aPacket, Core::TimePoint aNow)
   {
@@ -417,6 +470,9 @@
     }
     const auto reason =
       aPacket.isOpening() ? HandBackReason::Refused : HandBackReason::NotHeld;
+    mEvents.write(Telemetry::Event::FlowNotHeld, [&] {
+      return flowFields(flow, aNow).add("why", nameOf(reason));
+    });
     handBack(mBalancers[token - 1].endpoint, aPacket, reason, aNow);
   }
 
@@ -593,6 +649,7 @@
   GateIdentity mSelf;
   std::uint32_t mServiceTag;
   Telemetry::EventLog& mEvents;
+  Telemetry::HistogramSet& mHistograms;
   TargetGateFlows mFlows;
   RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, Opening> mOpenings;
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -24,17 +24,6 @@
 /** A target that just started takes about so many times longer. */
 constexpr double kWarmUpFactor = 1.6;
 
-/** Finalizer of splitmix64: spreads any change over all bits. */
-std::uint64_t
-mix(std::uint64_t aValue)
-{
-  aValue ^= aValue >> 30U;
-  aValue *= 0xBF58476D1CE4E5B9ULL;
-  aValue ^= aValue >> 27U;
-  aValue *= 0x94D049BB133111EBULL;
-  return aValue ^ (aValue >> 31U);
-}
-
 double
 slotsOf(const Candidate& aCandidate)
 {
@@ -169,7 +158,7 @@
 std::uint64_t
 rendezvousWeight(const Target& aTarget, std::uint64_t aFlowHash)
 {
-  return mix(aFlowHash ^ mix(endpointKey(aTarget.agent)));
+  return mixBits(aFlowHash ^ mixBits(endpointKey(aTarget.agent)));
 }
 
 std::size_t
@@ -185,7 +174,7 @@
   if (total == 0) {
     return aRoute.shares.front().service;
   }
-  auto point = mix(aFlowHash) % total;
+  auto point = mixBits(aFlowHash) % total;
   for (const auto& share : aRoute.shares) {
     if (point < share.weight) {
       return share.service;
@@ -195,10 +184,4 @@
   return aRoute.shares.back().service;
 }
 
-std::uint64_t
-flowHash(const Packet::FlowKey& aFlow)
-{
-  return mix(endpointKey(aFlow.caller) ^ mix(endpointKey(aFlow.service)));
-}
-
 } // namespace Steering
--- a/src/libs/steering/targetselection.h
+++ b/src/libs/steering/targetselection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/fleetmap.h"
+#include "steering/flowhash.h"
 #include "steering/loadtable.h"
 
 #include <absl/strings/string_view.h>
@@ -66,8 +67,4 @@
 std::size_t
 selectService(const Route& aRoute, std::uint64_t aFlowHash);
 
-/** A hash of a flow; the same at every balancer. */
-std::uint64_t
-flowHash(const Packet::FlowKey& aFlow);
-
 } // namespace Steering
--- a/src/libs/telemetry/eventlog.cpp
+++ b/src/libs/telemetry/eventlog.cpp
@@ -1,10 +1,13 @@
 #include "telemetry/eventlog.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
 #include <json/writer.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <atomic>
 #include <chrono>
 #include <mutex>
 
@@ -12,8 +15,10 @@
 
 namespace {
 
-constexpr std::chrono::seconds kLimitPeriod{ 10 };
-constexpr int kLinesPerPeriod = 10;
+constexpr std::chrono::seconds kBudgetPeriod{ 1 };
+/** Events from this number on to the next hundred come with each flow. */
+constexpr int kFirstFlowEvent = 300;
+constexpr int kLastFlowEvent = 399;
 
 spdlog::level::level_enum
 toLevel(Severity aSeverity)
@@ -31,6 +36,19 @@
   return spdlog::level::err;
 }
 
+int
+linesPerSecond(Event aEvent)
+{
+  if (aEvent == Event::RequestAnswered) {
+    return EventLog::kSampledLinesPerSecond;
+  }
+  const auto number = static_cast<int>(aEvent);
+  const bool isFlowEvent =
+    number >= kFirstFlowEvent && number <= kLastFlowEvent;
+  return isFlowEvent ? EventLog::kFlowLinesPerSecond
+                     : EventLog::kOtherLinesPerSecond;
+}
+
 /** How often one event was written in the present period. */
 struct Repetition
 {
@@ -47,12 +65,17 @@
   explicit Private(const EventLogSettings& aSettings)
     : process(aSettings.process)
     , json(aSettings.json)
-    , logger("events", std::make_shared<spdlog::sinks::stderr_sink_mt>())
+    , pool(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1))
+    , logger(std::make_shared<spdlog::async_logger>(
+        "events",
+        std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        pool,
+        spdlog::async_overflow_policy::overrun_oldest))
   {
-    logger.set_level(spdlog::level::from_str(aSettings.level));
-    logger.flush_on(spdlog::level::debug);
-    logger.set_pattern(json ? "%v" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
-                       spdlog::pattern_time_type::utc);
+    logger->set_level(spdlog::level::from_str(aSettings.level));
+    logger->flush_on(spdlog::level::debug);
+    logger->set_pattern(json ? "%v" : "%Y-%m-%dT%H:%M:%S.%eZ %l %v",
+                        spdlog::pattern_time_type::utc);
   }
 
   /** Lines left out before this one; nothing when this one is left out. */
@@ -61,52 +84,64 @@
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(mutex);
     auto& entry = repetitions[aEvent];
-    if (now - entry.periodStart >= kLimitPeriod) {
+    if (now - entry.periodStart >= kBudgetPeriod) {
       const int leftOut = entry.leftOut;
       entry = { now, 1, 0 };
       aAdmitted = true;
       return leftOut;
     }
-    aAdmitted = entry.written < kLinesPerPeriod;
+    aAdmitted = entry.written < linesPerSecond(aEvent);
     aAdmitted ? ++entry.written : ++entry.leftOut;
+    leftOutTotal += aAdmitted ? 0 : 1;
     return 0;
   }
 
   std::string format(const EventDescription& aDescription,
-                     absl::string_view aDetail,
+                     const EventFields& aFields,
                      int aLeftOut) const
   {
     const auto number = static_cast<int>(aDescription.event);
     if (!json) {
-      auto line = fmt::format("[{}] LS{} {}: {}",
-                              process,
-                              number,
-                              std::string(aDescription.name),
-                              std::string(aDetail));
+      auto line = absl::StrCat("[",
+                               process,
+                               "] LS",
+                               number,
+                               " ",
+                               aDescription.name,
+                               ": ",
+                               aFields.toText());
       return aLeftOut == 0
                ? line
-               : fmt::format("{} ({} like it left out)", line, aLeftOut);
+               : absl::StrCat(line, " (", aLeftOut, " like it left out)");
     }
-    Json::Value object;
-    object["time"] =
-      Json::Value::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(
-                           std::chrono::system_clock::now().time_since_epoch())
-                           .count());
-    object["process"] = process;
-    object["number"] = number;
-    object["event"] = std::string(aDescription.name);
-    object["detail"] = std::string(aDetail);
-    object["leftOut"] = aLeftOut;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, object);
+    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+    auto line = absl::StrCat("{\"time\":",
+                             time.count(),
+                             ",\"process\":",
+                             Json::valueToQuotedString(process.c_str()),
+                             ",\"number\":",
+                             number,
+                             ",\"event\":\"",
+                             aDescription.name,
+                             "\"",
+                             aFields.toJsonMembers());
+    if (aLeftOut > 0) {
+      absl::StrAppend(&line, ",\"leftOut\":", aLeftOut);
+    }
+    if (const auto dropped = pool->overrun_counter(); dropped > 0) {
+      absl::StrAppend(&line, ",\"dropped\":", dropped);
+    }
+    return line + "}";
   }
 
   std::string process;
   bool json;
-  spdlog::logger logger;
+  std::shared_ptr<spdlog::details::thread_pool> pool;
+  std::shared_ptr<spdlog::async_logger> logger;
   std::mutex mutex;
   absl::flat_hash_map<Event, Repetition> repetitions;
+  std::atomic<std::uint64_t> leftOutTotal = 0;
 };
 
 EventLog::EventLog(const EventLogSettings& aSettings)
@@ -118,17 +153,35 @@
 
 void
 EventLog::write(Event aEvent, absl::string_view aDetail)
+{
+  write(aEvent, [aDetail] { return EventFields().add("detail", aDetail); });
+}
+
+void
+EventLog::write(Event aEvent, absl::FunctionRef<EventFields()> aMakeFields)
 {
   const auto& description = describe(aEvent);
   const auto level = toLevel(description.severity);
-  if (!d->logger.should_log(level)) {
+  if (!d->logger->should_log(level)) {
     return;
   }
   bool admitted = false;
   const int leftOut = d->admit(aEvent, admitted);
   if (admitted) {
-    d->logger.log(level, d->format(description, aDetail, leftOut));
+    d->logger->log(level, d->format(description, aMakeFields(), leftOut));
   }
 }
 
+std::uint64_t
+EventLog::droppedLines() const
+{
+  return d->pool->overrun_counter();
+}
+
+std::uint64_t
+EventLog::leftOutLines() const
+{
+  return d->leftOutTotal;
+}
+
 } // namespace Telemetry
--- a/tests/auto/steering/tst_targetgate.cpp
+++ b/tests/auto/steering/tst_targetgate.cpp
@@ -56,7 +56,7 @@
 public:
   Fixture()
     : events({ "test", "off", false })
-    , gate(port, { "red" }, events)
+    , gate(port, { "red" }, events, histograms)
   {
   }
 
@@ -141,6 +141,7 @@
 
   FakePort port;
   Telemetry::EventLog events;
+  Telemetry::HistogramSet histograms;
   Core::TimePoint now{ 100s };
   bool isLong = false;
   /** A third may be spent waiting: not one request's 25 ms. */
--- a/tests/auto/telemetry/tst_telemetry.cpp
+++ b/tests/auto/telemetry/tst_telemetry.cpp
@@ -2,15 +2,24 @@
 #include <doctest/doctest.h>
 
 #include "telemetry/eventcatalogue.h"
+#include "telemetry/eventlog.h"
+#include "telemetry/flowstory.h"
 #include "telemetry/histogramset.h"
 #include "telemetry/metricswriter.h"
 
 #include <absl/strings/match.h>
 
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <regex>
 #include <set>
 #include <sstream>
+#include <thread>
 
 using namespace Telemetry;
 
@@ -83,3 +92,92 @@
     "lacewingspread_flow_duration_seconds_count{service=\"kazi\","
     "class=\"claim\"} 1\n"));
 }
+
+TEST_CASE("fields are told as JSON and as text")
+{
+  EventFields fields;
+  fields.flow(0xAB).add("why", "a \"quoted\" word").add("count", 7);
+  fields.add("waitedMs", std::chrono::milliseconds(250));
+  CHECK(fields.toJsonMembers() ==
+        ",\"flow\":\"00000000000000ab\",\"why\":\"a \\\"quoted\\\" "
+        "word\",\"count\":7,\"waitedMs\":250");
+  CHECK(fields.toText() == "flow=00000000000000ab why=a \"quoted\" word "
+                           "count=7 waitedMs=250");
+}
+
+TEST_CASE("an event keeps to its budget, and makes no line beyond it")
+{
+  EventLog log({ "test", "info", true });
+  int made = 0;
+  for (int i = 0; i < 100; ++i) {
+    log.write(Event::ProcessSlept, [&made] {
+      ++made;
+      return EventFields().add("detail", "a line of a test");
+    });
+  }
+  // A second may end once in between.
+  CHECK(made >= EventLog::kOtherLinesPerSecond);
+  CHECK(made <= 2 * EventLog::kOtherLinesPerSecond);
+  CHECK(log.leftOutLines() == static_cast<std::uint64_t>(100 - made));
+}
+
+TEST_CASE("a reader of the output that stands still holds nobody up")
+{
+  int pipeEnds[2];
+  REQUIRE(pipe(pipeEnds) == 0);
+  const int output = dup(STDOUT_FILENO);
+  fflush(stdout);
+  dup2(pipeEnds[1], STDOUT_FILENO);
+  std::uint64_t dropped = 0;
+  {
+    EventLog log({ "test", "info", true });
+    const std::string text(2'000, 'x');
+    // 64 KB fill the pipe; then lines wait in the queue; then they are dropped.
+    for (int second = 0; dropped == 0 && second < 1'000; ++second) {
+      for (int number = 100; number < 500; ++number) {
+        for (const auto& it : eventCatalogue()) {
+          if (static_cast<int>(it.event) == number) {
+            log.write(it.event, text);
+          }
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+      dropped = log.droppedLines();
+    }
+    // What still waits goes nowhere when the writing task ends.
+    const int nowhere = open("/dev/null", O_WRONLY);
+    dup2(nowhere, STDOUT_FILENO);
+    close(nowhere);
+    close(pipeEnds[1]);
+    signal(SIGPIPE, SIG_IGN);
+    close(pipeEnds[0]);
+  }
+  dup2(output, STDOUT_FILENO);
+  close(output);
+  CHECK(dropped > 0);
+}
+
+TEST_CASE("the story of a flow is put together from several logs")
+{
+  std::istringstream balancer(
+    "0.1 b1 {\"time\":1000,\"process\":\"b1\",\"number\":310,"
+    "\"event\":\"flow-placed\",\"flow\":\"ab\",\"caller\":\"1.2.3.4:5\"}\n"
+    "no event\n"
+    "{\"time\":1001,\"process\":\"b1\",\"number\":310,"
+    "\"event\":\"flow-placed\",\"flow\":\"cd\"}\n");
+  std::istringstream agent(
+    "{\"time\":990,\"process\":\"s1\",\"number\":320,"
+    "\"event\":\"flow-admitted\",\"flow\":\"ab\",\"waiting\":2}\n");
+  FlowStoryReader reader("ab");
+  reader.read(balancer);
+  reader.read(agent);
+  const auto story = reader.story();
+  REQUIRE(story.lines.size() == 2);
+  CHECK(story.lines[0].process == "s1");
+  CHECK(story.lines[0].fields == "flow=ab waiting=2");
+  CHECK(story.lines[1].process == "b1");
+  CHECK(story.unreadableLines == 1);
+  REQUIRE(story.clockNotes.size() == 1);
+  CHECK(story.clockNotes[0] ==
+        "the clock of s1 is at least 10 ms behind that of b1");
+}
--- a/tests/flowworld/flowworld.cpp
+++ b/tests/flowworld/flowworld.cpp
@@ -204,7 +204,7 @@
   auto& side = *mSides.at(aTarget);
   side.gate =
     std::make_unique<Steering::TargetGate<Platform::DatagramFormat, AgentPort>>(
-      *side.port, Steering::GateIdentity{ side.service }, mEvents);
+      *side.port, Steering::GateIdentity{ side.service }, mEvents, mHistograms);
 }
 
 void
--- a/tests/flowworld/flowworld.h
+++ b/tests/flowworld/flowworld.h
@@ -125,6 +125,7 @@
   FlowWorldSettings mSettings;
   std::mt19937_64 mRandom;
   Telemetry::EventLog mEvents;
+  Telemetry::HistogramSet mHistograms;
   Core::TimePoint mNow;
   std::uint64_t mParcelNumber = 0;
   std::uint64_t mRevision = 1;
