Steering: Ask all agents for a flow's owner while its packets are searched

Change: the balancer keeps a searched flow's packets and goes on by itself after 100 ms; with the first packet it asks all agents whether they know the flow, and agents that run for too short a time to know all theirs are searched first.

--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint8_t kWantsNotice = 0x02;
 constexpr std::uint8_t kLongFlow = 0x04;
 constexpr std::uint8_t kUnavailable = 0x08;
+constexpr std::uint8_t kKnowsAllFlows = 0x10;
 /** Behind magic, kind, flags and reason. */
 constexpr std::size_t kRevisionAt = 4;
 constexpr std::size_t kFieldsAt = 8;
@@ -28,6 +29,7 @@
   flags |= aMessage.wantsNotice ? kWantsNotice : 0;
   flags |= aMessage.isLongFlow ? kLongFlow : 0;
   flags |= aMessage.load.isUnavailable ? kUnavailable : 0;
+  flags |= aMessage.load.knowsAllFlows ? kKnowsAllFlows : 0;
   return flags;
 }
 
@@ -44,7 +46,7 @@
 isKnown(std::uint8_t aKind, std::uint8_t aReason)
 {
   return aKind >= static_cast<std::uint8_t>(MessageKind::Forward) &&
-         aKind <= static_cast<std::uint8_t>(MessageKind::Probe) &&
+         aKind <= static_cast<std::uint8_t>(MessageKind::Locate) &&
          aReason <= static_cast<std::uint8_t>(HandBackReason::Leaving);
 }
 
@@ -90,7 +92,8 @@
 bool
 isFromBalancer(MessageKind aKind)
 {
-  return aKind == MessageKind::Forward || aKind == MessageKind::Probe;
+  return aKind == MessageKind::Forward || aKind == MessageKind::Probe ||
+         aKind == MessageKind::Locate;
 }
 
 } // namespace
@@ -158,6 +161,7 @@
     loadLoad(&aData[kFieldsAt], message.load);
   }
   message.load.isUnavailable = (flags & kUnavailable) != 0;
+  message.load.knowsAllFlows = (flags & kKnowsAllFlows) != 0;
   return message;
 }
 
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -24,6 +24,8 @@
   LoadReport = 4,
   /** Balancer to agent: asks for a load report. */
   Probe = 5,
+  /** Balancer to agent: asks for an owner notice if it knows the flow. */
+  Locate = 6,
 };
 
 /** Why an agent handed a packet back. */
@@ -61,6 +63,8 @@
   std::chrono::milliseconds serviceTime{ 0 };
   /** True while the backend server should get no new flow. */
   bool isUnavailable = false;
+  /** The agent runs for so long that it knows each flow in use. */
+  bool knowsAllFlows = false;
 };
 
 /**
@@ -101,7 +105,7 @@
     absl::Span<const std::uint8_t> aData);
 };
 
-/** The body of an owner notice. */
+/** The body of an owner notice, and of the question for one. */
 struct OwnerNotice
 {
   Packet::FlowKey flow;
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -34,12 +34,12 @@
   FlowSteerer(const FlowSteerer&) = delete;
   FlowSteerer& operator=(const FlowSteerer&) = delete;
 
-  void adoptMap(FleetMapPointer aMap, Core::TimePoint aNow)
+  void adoptMap(const FleetMapPointer& aMap, Core::TimePoint aNow)
   {
     if (mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap)) {
       mContext.settledAt = aNow + SearchSide<Format, Port>::kSearchAgainAfter;
     }
-    mContext.map = std::move(aMap);
+    mContext.map = aMap;
     mContext.loads.forgetUnless([this](const Core::Endpoint& aAgent) {
       return mContext.map->findTarget(aAgent) != nullptr;
     });
@@ -99,6 +99,7 @@
         break;
       case MessageKind::Forward:
       case MessageKind::Probe:
+      case MessageKind::Locate:
         mContext.counters.increment(SteeringCounter::PacketsMalformed);
         break;
     }
@@ -111,14 +112,17 @@
       mContext.sendProbe(agent);
     }
     mOpenings.tick(aNow);
+    mSearch.tick(aNow);
     mContext.flows.expire(aNow);
   }
 
   /** When tick() is due; nothing while nothing is waited for. */
   std::optional<std::chrono::milliseconds> timeToTick() const
   {
-    const auto openings = mOpenings.timeToTick();
-    if (openings) {
+    if (const auto searches = mSearch.timeToTick()) {
+      return searches;
+    }
+    if (const auto openings = mOpenings.timeToTick()) {
       return openings;
     }
     if (mContext.loads.suspectedCount() > 0) {
@@ -232,11 +236,12 @@
           .add("agent", Core::formatEndpoint(aFrom));
       });
     }
-    memory.agent = aFrom;
+    const auto asked = std::exchange(memory.agent, aFrom);
     memory.isConfirmed = true;
     memory.passedOver.clear();
     memory.declinedBy.clear();
     memory.exhaustedAt = {};
+    mSearch.noteFound(notice->flow, asked);
   }
 
   SteererContext<Format, Port> mContext;
--- a/src/libs/steering/requestqueue.cpp
+++ b/src/libs/steering/requestqueue.cpp
@@ -75,9 +75,9 @@
 std::uint32_t
 RequestQueue::freshCount(Core::TimePoint aNow) const
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(mRequests.begin(), mRequests.end(), [aNow](const auto& it) {
-      return aNow < it.second.lateAt;
+  return static_cast<std::uint32_t>(std::count_if(
+    mRequests.begin(), mRequests.end(), [aNow](const auto& aEntry) {
+      return aNow < aEntry.second.lateAt;
     }));
 }
 
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -108,11 +108,15 @@
 
   void sendProbe(const Core::Endpoint& aAgent)
   {
-    mBuffer.clear();
-    AgentMessage message;
-    message.kind = MessageKind::Probe;
-    message.mapRevision = mapRevision();
-    message.appendTo(mBuffer);
+    beginMessage(MessageKind::Probe);
+    port.sendToAgent(aAgent, mBuffer);
+  }
+
+  /** Asks an agent whether its backend server holds the flow. */
+  void sendLocate(const Core::Endpoint& aAgent, const Packet::FlowKey& aFlow)
+  {
+    beginMessage(MessageKind::Locate);
+    OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
     port.sendToAgent(aAgent, mBuffer);
   }
 
@@ -160,6 +164,16 @@
   SteeringCounters counters;
 
 private:
+  /** A message that has no fields but those that all have. */
+  void beginMessage(MessageKind aKind)
+  {
+    AgentMessage message;
+    message.kind = aKind;
+    message.mapRevision = mapRevision();
+    mBuffer.clear();
+    message.appendTo(mBuffer);
+  }
+
   std::vector<std::uint8_t> mBuffer;
 };
 
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -85,12 +85,14 @@
   TargetGate(Port& aPort,
              GateIdentity aSelf,
              Telemetry::EventLog& aEvents,
-             Telemetry::HistogramSet& aHistograms)
+             Telemetry::HistogramSet& aHistograms,
+             Core::TimePoint aNow)
     : mPort(aPort)
     , mSelf(std::move(aSelf))
     , mServiceTag(FleetMap::serviceTag(mSelf.service))
     , mEvents(aEvents)
     , mHistograms(aHistograms)
+    , mStartedAt(aNow)
   {
   }
   TargetGate(const TargetGate&) = delete;
@@ -129,6 +131,10 @@
       return;
     }
     const auto body = aData.subspan(AgentMessage::kBytes);
+    if (message->kind == MessageKind::Locate) {
+      handleLocate(aFrom, body, aNow);
+      return;
+    }
     const auto packet = Format::parse(body);
     if (message->kind != MessageKind::Forward || !packet.ok()) {
       mCounters.increment(SteeringCounter::PacketsMalformed);
@@ -254,6 +260,22 @@
     return aMessage.age >= aMessage.latencyObjective;
   }
 
+  /** Tells a balancer that asks whether this is the owner. */
+  void handleLocate(const Core::Endpoint& aFrom,
+                    absl::Span<const std::uint8_t> aBody,
+                    Core::TimePoint aNow)
+  {
+    const auto question = OwnerNotice::parse(aBody);
+    if (!question.ok()) {
+      mCounters.increment(SteeringCounter::PacketsMalformed);
+      return;
+    }
+    const auto* flow = mFlows.find(question->flow);
+    if (flow != nullptr && flow->isConfirmed && !flow->isEnded) {
+      sendNotice(aFrom, question->flow, 0, aNow);
+    }
+  }
+
   HandBackReason reasonAgainst(const AgentMessage& aMessage,
                                Core::TimePoint aNow)
   {
@@ -617,6 +639,7 @@
       narrow(static_cast<std::uint32_t>(mQueue.size()) - fresh);
     load.longFlows = narrow(mFlows.longFlows());
     load.serviceTime = mFlows.serviceTime();
+    load.knowsAllFlows = aNow - mStartedAt >= TargetGateFlows::kIdleTime;
     load.isUnavailable = mIsLeaving || mUnanswered >= kSilentAfter;
     return load;
   }
@@ -650,6 +673,7 @@
   std::uint32_t mServiceTag;
   Telemetry::EventLog& mEvents;
   Telemetry::HistogramSet& mHistograms;
+  Core::TimePoint mStartedAt;
   TargetGateFlows mFlows;
   RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, Opening> mOpenings;
--- a/src/libs/telemetry/flowstory.cpp
+++ b/src/libs/telemetry/flowstory.cpp
@@ -66,8 +66,8 @@
   constexpr int kAdmitted = static_cast<int>(Event::FlowAdmitted);
   std::vector<std::string> notes;
   const auto placed =
-    std::find_if(aLines.begin(), aLines.end(), [](const auto& it) {
-      return it.number == kPlaced;
+    std::find_if(aLines.begin(), aLines.end(), [](const auto& aLine) {
+      return aLine.number == kPlaced;
     });
   if (placed == aLines.end()) {
     return notes;
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -105,6 +105,14 @@
   {
     engine.handleCallerPacket(packet(aCaller, false, 9), now);
   }
+  /** Says something in a flow that no agent knows. */
+  void ask(std::uint16_t aCaller)
+  {
+    say(aCaller);
+    std::erase_if(port.toAgents, [](const auto& aSent) {
+      return aSent.message.kind == MessageKind::Locate;
+    });
+  }
   void handBack(const Core::Endpoint& aFrom,
                 HandBackReason aReason,
                 const Bytes& aPacket,
@@ -131,9 +139,12 @@
     Steering::OwnerNotice{ Test::flowOf(aCaller), aSequence }.appendTo(bytes);
     engine.handleAgentMessage(aFrom, bytes, now);
   }
-  void report(const Core::Endpoint& aFrom, std::uint16_t aInProgress)
+  void report(const Core::Endpoint& aFrom,
+              std::uint16_t aInProgress,
+              bool aKnowsAllFlows = false)
   {
     AgentMessage message;
+    message.load.knowsAllFlows = aKnowsAllFlows;
     message.kind = MessageKind::LoadReport;
     message.load.inProgress = aInProgress;
     message.load.serviceTime = 50ms;
@@ -141,7 +152,16 @@
     message.appendTo(bytes);
     engine.handleAgentMessage(aFrom, bytes, now);
   }
-  Core::Endpoint last() const { return port.toAgents.back().to; }
+  /** The agent that got the last packet of a caller. */
+  Core::Endpoint last() const
+  {
+    for (auto it = port.toAgents.rbegin(); it != port.toAgents.rend(); ++it) {
+      if (it->message.kind == MessageKind::Forward) {
+        return it->to;
+      }
+    }
+    return {};
+  }
 
   FakePort port;
   Telemetry::EventLog events;
@@ -361,7 +381,7 @@
     f.now += 250ms;
     f.engine.tick(f.now);
     CHECK(f.port.toAgents.back().message.kind == MessageKind::Probe);
-    CHECK(f.last() == silent);
+    CHECK(f.port.toAgents.back().to == silent);
     f.report(silent, 0);
     CHECK_FALSE(f.engine.timeToTick().has_value());
   }
@@ -386,10 +406,28 @@
   CHECK(f.last() == second);
 }
 
-TEST_CASE("the owner of an unknown flow is found by asking each once")
+TEST_CASE("the owner of an unknown flow tells that it knows it")
 {
   Fixture f;
+  // The own zone is asked first, and the owner is in another one.
+  f.say(1);
+  REQUIRE(f.port.toAgents.size() == 4);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(f.port.toAgents[i].message.kind == MessageKind::Locate);
+  }
+  CHECK(f.last() != Fixture::agent(3));
+  f.notice(Fixture::agent(3), 1);
+  REQUIRE(f.port.toAgents.size() == 5);
+  CHECK(f.last() == Fixture::agent(3));
+  CHECK(f.port.toAgents[4].body == f.port.toAgents[3].body);
   f.say(1);
+  CHECK(f.last() == Fixture::agent(3));
+}
+
+TEST_CASE("a flow that no agent knows is found by asking each once")
+{
+  Fixture f;
+  f.ask(1);
   std::set<Core::Endpoint> asked{ f.last() };
   CHECK(f.port.toAgents.back().message.wantsNotice);
   for (int i = 0; i < 2; ++i) {
@@ -404,12 +442,23 @@
   CHECK_FALSE(f.port.toAgents.back().message.wantsNotice);
 }
 
+TEST_CASE("agents that may not know all their flows are asked first")
+{
+  Fixture f;
+  f.report(Fixture::agent(1), 0, true);
+  f.report(Fixture::agent(2), 0, true);
+  f.ask(1);
+  CHECK(f.last() == Fixture::agent(3));
+  f.handBack(f.last(), HandBackReason::NotHeld, f.port.toAgents.back().body);
+  CHECK(f.last() != Fixture::agent(3));
+}
+
 TEST_CASE("packets of one flow share its search")
 {
   Fixture f;
   f.say(1);
   f.say(1);
-  f.say(1);
+  f.ask(1);
   const auto first = f.last();
   for (const auto& it : f.port.toAgents) {
     CHECK(it.to == first);
@@ -430,7 +479,7 @@
 void
 searchInVain(Fixture& aFixture)
 {
-  aFixture.say(1);
+  aFixture.ask(1);
   for (int i = 0; i < 3; ++i) {
     aFixture.handBack(aFixture.last(),
                       HandBackReason::NotHeld,
@@ -491,29 +540,42 @@
 TEST_CASE("a flow is not reset while a target is silent")
 {
   Fixture f;
-  f.say(1);
+  f.ask(1);
   const auto silent = f.last();
-  f.now += 200ms;
   for (int round = 0; round < 6; ++round) {
-    f.say(1);
+    f.now += 200ms;
+    f.engine.tick(f.now);
     CHECK(f.last() != silent);
     for (int i = 0; i < 2; ++i) {
       f.handBack(
         f.last(), HandBackReason::NotHeld, f.port.toAgents.back().body);
     }
     f.now += 800ms;
+    f.ask(1);
   }
   CHECK(f.port.toCallers.empty());
 }
 
+TEST_CASE("a search goes on without the caller when an agent is silent")
+{
+  Fixture f;
+  f.ask(1);
+  const auto silent = f.last();
+  f.now += 100ms;
+  f.engine.tick(f.now);
+  REQUIRE(f.port.toAgents.size() == 2);
+  CHECK(f.last() != silent);
+  CHECK(f.port.toAgents[0].body == f.port.toAgents[1].body);
+}
+
 TEST_CASE("an agent whose answer was lost has not declined")
 {
   Fixture f;
-  f.say(1);
+  f.ask(1);
   const auto owner = f.last();
   // The owner delivers the packet and its notice is lost.
   f.now += 200ms;
-  f.say(1);
+  f.engine.tick(f.now);
   REQUIRE(f.last() != owner);
   f.report(owner, 0);
   for (int i = 0; i < 2; ++i) {
@@ -521,7 +583,7 @@
   }
   CHECK(f.port.toCallers.empty());
   f.now += 200ms;
-  f.say(1);
+  f.ask(1);
   CHECK(f.last() == owner);
 }
 
--- a/tests/auto/steering/tst_targetgate.cpp
+++ b/tests/auto/steering/tst_targetgate.cpp
@@ -56,7 +56,7 @@
 public:
   Fixture()
     : events({ "test", "off", false })
-    , gate(port, { "red" }, events, histograms)
+    , gate(port, { "red" }, events, histograms, Core::TimePoint(100s))
   {
   }
 
@@ -431,6 +431,40 @@
   CHECK(f.port.toBalancers.back().message.kind == MessageKind::OwnerNotice);
 }
 
+TEST_CASE("an agent tells who asks of the flows that it knows, and of no other")
+{
+  Fixture f;
+  f.startRequest(1);
+  const auto locate = [&f](std::uint16_t aCaller) {
+    AgentMessage message;
+    message.kind = MessageKind::Locate;
+    Bytes bytes;
+    message.appendTo(bytes);
+    Steering::OwnerNotice{ Test::flowOf(aCaller), 0 }.appendTo(bytes);
+    f.gate.handleBalancerMessage(kOther, bytes, f.now);
+  };
+  const auto before = f.port.toBalancers.size();
+  locate(2);
+  CHECK(f.port.toBalancers.size() == before);
+  locate(1);
+  REQUIRE(f.port.toBalancers.size() == before + 1);
+  CHECK(f.port.toBalancers.back().to == kOther);
+  CHECK(f.port.toBalancers.back().message.kind == MessageKind::OwnerNotice);
+  f.answer(1, true);
+  locate(1);
+  CHECK(f.port.toBalancers.size() == before + 1);
+}
+
+TEST_CASE("an agent that runs for long knows all flows in use")
+{
+  Fixture f;
+  f.startRequest(1);
+  CHECK_FALSE(f.port.toBalancers.back().message.load.knowsAllFlows);
+  f.now += 30s;
+  f.startRequest(2);
+  CHECK(f.port.toBalancers.back().message.load.knowsAllFlows);
+}
+
 TEST_CASE("after its restart an agent tells owners again")
 {
   Fixture f;
--- a/tests/flowworld/flowworld.cpp
+++ b/tests/flowworld/flowworld.cpp
@@ -204,7 +204,11 @@
   auto& side = *mSides.at(aTarget);
   side.gate =
     std::make_unique<Steering::TargetGate<Platform::DatagramFormat, AgentPort>>(
-      *side.port, Steering::GateIdentity{ side.service }, mEvents, mHistograms);
+      *side.port,
+      Steering::GateIdentity{ side.service },
+      mEvents,
+      mHistograms,
+      mNow);
 }
 
 void
