--- a/src/libs/steering/openingside.h
+++ b/src/libs/steering/openingside.h
@@ -355,7 +355,8 @@
           .add("why",
                it.isWaiting() ? "no target had room"
                               : "its target did not answer")
-          .add("agent", Core::formatEndpoint(it.agent));
+          .add("agent",
+               it.isWaiting() ? "none" : Core::formatEndpoint(it.agent));
       });
     }
   }
