--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/agentmessage.h"
+#include "steering/balancerlinks.h"
 #include "steering/fleetmap.h"
 #include "steering/flowhash.h"
 #include "steering/packetformat.h"
@@ -66,11 +67,6 @@
   static constexpr int kSilentAfter = 2;
   /** A silent server gets one opening in so long. */
   static constexpr std::chrono::milliseconds kSilentRetry{ 500 };
-  /** Balancers that sent nothing for so long get no reports. */
-  static constexpr std::chrono::seconds kBalancerMemory{ 3 };
-  static constexpr std::chrono::milliseconds kReportInterval{ 100 };
-  /** Reports of one agent to all balancers; 50 of 44 bytes are 2.2 KB/s. */
-  static constexpr int kReportsPerSecond = 50;
   /**
    * A new flow may have to wait for a slot for this part of its latency
    * objective; the rest is for the way and the work itself.
@@ -88,6 +84,7 @@
              Telemetry::HistogramSet& aHistograms,
              Core::TimePoint aNow)
     : mPort(aPort)
+    , mLinks(aPort, mCounters)
     , mSelf(std::move(aSelf))
     , mServiceTag(FleetMap::serviceTag(mSelf.service))
     , mEvents(aEvents)
@@ -107,9 +104,7 @@
   void beginLeaving(Core::TimePoint aNow)
   {
     mIsLeaving = true;
-    for (auto& balancer : mBalancers) {
-      sendReport(balancer, aNow);
-    }
+    mLinks.sendReportToAll(load(aNow));
   }
 
   /** Handles one datagram from a balancer. */
@@ -124,10 +119,9 @@
       mCounters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    auto& balancer = balancerOf(aFrom, aNow);
-    mNewestRevision = std::max(mNewestRevision, message->mapRevision);
+    mLinks.noteMessage(aFrom, message->mapRevision, aNow);
     if (message->kind == MessageKind::Probe) {
-      sendReport(balancer, aNow);
+      mLinks.sendReport(aFrom, load(aNow));
       return;
     }
     const auto body = aData.subspan(AgentMessage::kBytes);
@@ -182,7 +176,7 @@
       mFlows.erase(key);
     }
     deliverHeld(aNow);
-    reportChanges(aNow);
+    mLinks.reportChanges(load(aNow), aNow);
   }
 
   /** When tick() is due; nothing while nothing is waited for. */
@@ -198,16 +192,6 @@
   using PacketType = typename Format::Packet;
   using Bytes = std::vector<std::uint8_t>;
 
-  struct Balancer
-  {
-    Core::Endpoint endpoint;
-    Core::TimePoint seenAt{};
-    Core::TimePoint reportedAt{};
-    ReportedLoad reported;
-    /** It was turned away since it last heard of room. */
-    bool isWaiting = false;
-  };
-
   /** An opening packet that the backend server has not answered yet. */
   struct Opening
   {
@@ -226,7 +210,9 @@
     if (!isKnown) {
       const auto reason = reasonAgainst(aMessage, aNow);
       if (reason != HandBackReason::None) {
-        balancerOf(aFrom, aNow).isWaiting = reason == HandBackReason::Full;
+        if (reason == HandBackReason::Full) {
+          mLinks.noteWaiting(aFrom);
+        }
         mEvents.write(Telemetry::Event::FlowTurnedAway, [&] {
           return flowFields(key, aNow)
             .add("why", nameOf(reason))
@@ -426,7 +412,9 @@
       flow.startedAt = {};
       noteAnswer(flow, aFlow, aNow);
       deliverHeld(aNow);
-      tellNextWaiting(aNow);
+      if (mFlows.inProgress() < mSlots) {
+        mLinks.tellNextWaiting(load(aNow));
+      }
     }
     if (aPacket.isAccepting()) {
       mOpenings.erase(aFlow);
@@ -481,12 +469,12 @@
   /** The backend server does not hold the flow, or refused to open it. */
   void handleReturned(const PacketType& aPacket, Core::TimePoint aNow)
   {
-    const auto token = aPacket.returnToken();
+    const auto balancer = mLinks.endpointOf(aPacket.returnToken());
     const auto flow = aPacket.flowToService();
     mQueue.erase(flow);
     mFlows.erase(flow);
     mOpenings.erase(flow);
-    if (token == 0 || token > mBalancers.size()) {
+    if (balancer.isNull()) {
       mCounters.increment(SteeringCounter::PacketsWithoutTarget);
       return;
     }
@@ -495,7 +483,7 @@
     mEvents.write(Telemetry::Event::FlowNotHeld, [&] {
       return flowFields(flow, aNow).add("why", nameOf(reason));
     });
-    handBack(mBalancers[token - 1].endpoint, aPacket, reason, aNow);
+    handBack(balancer, aPacket, reason, aNow);
   }
 
   void returnUnanswered(Core::TimePoint aNow)
@@ -533,7 +521,7 @@
   {
     const auto bytes = aPacket.bytes();
     mBuffer.assign(bytes.begin(), bytes.end());
-    Format::stampReturnToken(absl::MakeSpan(mBuffer), tokenOf(aFrom));
+    Format::stampReturnToken(absl::MakeSpan(mBuffer), mLinks.tokenOf(aFrom));
     mPort.deliver(mBuffer);
     mCounters.increment(SteeringCounter::PacketsDelivered);
   }
@@ -543,18 +531,7 @@
                 HandBackReason aReason,
                 Core::TimePoint aNow)
   {
-    AgentMessage message;
-    message.kind = MessageKind::HandBack;
-    message.reason = aReason;
-    message.mapRevision = mNewestRevision;
-    message.load = load(aNow);
-    mBuffer.clear();
-    message.appendTo(mBuffer);
-    const auto bytes = aPacket.bytes();
-    mBuffer.insert(mBuffer.end(), bytes.begin(), bytes.end());
-    Format::restore(absl::MakeSpan(mBuffer).subspan(AgentMessage::kBytes));
-    mPort.sendToBalancer(aTo, mBuffer);
-    mCounters.increment(SteeringCounter::PacketsHandedBack);
+    mLinks.handBack(aTo, aPacket, aReason, load(aNow));
   }
 
   void sendNotice(const Core::Endpoint& aTo,
@@ -562,72 +539,7 @@
                   std::uint32_t aSequence,
                   Core::TimePoint aNow)
   {
-    if (aTo.isNull()) {
-      return;
-    }
-    AgentMessage message;
-    message.kind = MessageKind::OwnerNotice;
-    message.mapRevision = mNewestRevision;
-    message.load = load(aNow);
-    mBuffer.clear();
-    message.appendTo(mBuffer);
-    OwnerNotice{ aFlow, aSequence }.appendTo(mBuffer);
-    mPort.sendToBalancer(aTo, mBuffer);
-    mCounters.increment(SteeringCounter::OwnerNotices);
-  }
-
-  void sendReport(Balancer& aTo, Core::TimePoint aNow)
-  {
-    AgentMessage message;
-    message.kind = MessageKind::LoadReport;
-    message.mapRevision = mNewestRevision;
-    message.load = load(aNow);
-    mBuffer.clear();
-    message.appendTo(mBuffer);
-    aTo.reported = message.load;
-    mPort.sendToBalancer(aTo.endpoint, mBuffer);
-    mCounters.increment(SteeringCounter::LoadReports);
-  }
-
-  /** Tells one balancer that was turned away, in turn, of a free slot. */
-  void tellNextWaiting(Core::TimePoint aNow)
-  {
-    if (mFlows.inProgress() >= mSlots) {
-      return;
-    }
-    for (std::size_t i = 0; i < mBalancers.size(); ++i) {
-      mToldLast = (mToldLast + 1) % mBalancers.size();
-      auto& balancer = mBalancers[mToldLast];
-      if (std::exchange(balancer.isWaiting, false)) {
-        sendReport(balancer, aNow);
-        return;
-      }
-    }
-  }
-
-  void reportChanges(Core::TimePoint aNow)
-  {
-    const auto active = std::count_if(
-      mBalancers.begin(), mBalancers.end(), [aNow](const auto& aBalancer) {
-        return aNow - aBalancer.seenAt < kBalancerMemory;
-      });
-    const auto spread =
-      std::chrono::milliseconds(active * 1'000 / kReportsPerSecond);
-    const auto interval = std::max(kReportInterval, spread);
-    const auto current = load(aNow);
-    for (auto& balancer : mBalancers) {
-      const bool hasChanged =
-        balancer.reported.inProgress != current.inProgress ||
-        balancer.reported.longFlows != current.longFlows ||
-        balancer.reported.isUnavailable != current.isUnavailable;
-      const bool isDue = hasChanged &&
-                         aNow - balancer.seenAt < kBalancerMemory &&
-                         aNow - balancer.reportedAt >= interval;
-      if (isDue) {
-        balancer.reportedAt = aNow;
-        sendReport(balancer, aNow);
-      }
-    }
+    mLinks.sendNotice(aTo, aFlow, aSequence, load(aNow));
   }
 
   ReportedLoad load(Core::TimePoint aNow) const
@@ -650,25 +562,9 @@
     return static_cast<std::uint16_t>(std::min(aValue, kMost));
   }
 
-  Balancer& balancerOf(const Core::Endpoint& aEndpoint, Core::TimePoint aNow)
-  {
-    auto& balancer = mBalancers[tokenOf(aEndpoint) - 1];
-    balancer.seenAt = aNow;
-    return balancer;
-  }
-
-  /** A number that names the balancer in returned packets; never 0. */
-  std::uint32_t tokenOf(const Core::Endpoint& aBalancer)
-  {
-    const auto [it, isNew] =
-      mTokens.try_emplace(endpointKey(aBalancer), mBalancers.size() + 1);
-    if (isNew) {
-      mBalancers.push_back({ aBalancer, {}, {}, {}, false });
-    }
-    return it->second;
-  }
-
   Port& mPort;
+  SteeringCounters mCounters;
+  BalancerLinks<Format, Port> mLinks;
   GateIdentity mSelf;
   std::uint32_t mServiceTag;
   Telemetry::EventLog& mEvents;
@@ -677,16 +573,10 @@
   TargetGateFlows mFlows;
   RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, Opening> mOpenings;
-  std::vector<Balancer> mBalancers;
-  absl::flat_hash_map<std::uint64_t, std::uint32_t> mTokens;
   std::uint32_t mSlots = 1;
-  /** Of the maps of all balancers. */
-  std::uint32_t mNewestRevision = 0;
-  std::size_t mToldLast = 0;
   int mUnanswered = 0;
   Core::TimePoint mTriedAt{};
   bool mIsLeaving = false;
-  SteeringCounters mCounters;
   Bytes mBuffer;
 };
 
--- a/tests/flowworld/flowschedules.cpp
+++ b/tests/flowworld/flowschedules.cpp
@@ -39,15 +39,16 @@
 int
 main(int aCount, char** aArguments)
 {
-  cxxopts::Options options(
-    "flowschedules", "Plays random faults against flows of the platform.");
-  auto add = options.add_options();
-  add("count",
-      "how many schedules",
-      cxxopts::value<unsigned>()->default_value("100"));
-  add("seed", "the first seed", cxxopts::value<unsigned>()->default_value("1"));
-  add("help", "print this help");
   try {
+    cxxopts::Options options(
+      "flowschedules", "Plays random faults against flows of the platform.");
+    auto add = options.add_options();
+    add("count",
+        "how many schedules",
+        cxxopts::value<unsigned>()->default_value("100"));
+    add(
+      "seed", "the first seed", cxxopts::value<unsigned>()->default_value("1"));
+    add("help", "print this help");
     const auto result = options.parse(aCount, aArguments);
     if (result.count("help") > 0) {
       std::cout << options.help();
