Tests: Follow the linter in the flows' world

Change: names, a vector that nothing used, two constants that stop a move, and a message that was left from tracing.

--- a/tests/flowworld/flowworld.cpp
+++ b/tests/flowworld/flowworld.cpp
@@ -137,7 +137,7 @@
 World::newSide(const std::string& aService, Core::Endpoint aAgent)
 {
   auto side = std::make_unique<Side>();
-  const auto name = absl::StrCat("t", mSides.size() + 1);
+  auto name = absl::StrCat("t", mSides.size() + 1);
   side->name = name;
   side->service = aService;
   side->zone = (mSides.size() / 2) % kZones;
@@ -223,8 +223,7 @@
 std::string
 World::addTarget(const std::string& aService)
 {
-  const auto name =
-    newSide(aService, { kSideNet + mNextAddress++, kAgentPort });
+  auto name = newSide(aService, { kSideNet + mNextAddress++, kAgentPort });
   publish();
   return name;
 }
--- a/tests/flowworld/tst_flowworld.cpp
+++ b/tests/flowworld/tst_flowworld.cpp
@@ -10,16 +10,15 @@
 
 using namespace std::chrono_literals;
 using FlowWorld::AttemptState;
-using FlowWorld::FlowCaller;
 using FlowWorld::World;
 
 std::size_t
 countOf(const World& aWorld, AttemptState aState)
 {
   return static_cast<std::size_t>(std::count_if(
-    aWorld.callers().begin(), aWorld.callers().end(), [aState](const auto& it) {
-      return it->state() == aState;
-    }));
+    aWorld.callers().begin(),
+    aWorld.callers().end(),
+    [aState](const auto& aCaller) { return aCaller->state() == aState; }));
 }
 
 /** Answers within aTime of the caller's first packet or request. */
@@ -119,7 +118,7 @@
   const auto others =
     std::count_if(world.runs().begin() + static_cast<std::ptrdiff_t>(before),
                   world.runs().end(),
-                  [&](const auto& it) { return it.target == owner; });
+                  [&](const auto& aRun) { return aRun.target == owner; });
   CHECK(others == 4);
   checkPromises(world);
 }
@@ -184,9 +183,8 @@
   world.holdMaps("b1");
   const auto added = world.addTarget("red");
   world.killTarget("t1");
-  std::vector<FlowCaller*> callers;
   for (int i = 0; i < 10; ++i) {
-    callers.push_back(&world.open("red", 0, 6, 300ms));
+    world.open("red", 0, 6, 300ms);
   }
   world.advance(200ms);
   // All flows of the zone go through the balancer that does not know it.
@@ -207,11 +205,6 @@
   openEvenly(world, 800, 3s);
   world.advance(4s);
   const auto inTime = answersWithin(world, 300ms);
-  MESSAGE("DBG refused " << countOf(world, AttemptState::Refused)
-                         << " unanswered "
-                         << countOf(world, AttemptState::Unanswered) << " open "
-                         << countOf(world, AttemptState::Open) << " opening "
-                         << countOf(world, AttemptState::Opening));
   MESSAGE("answered in time: " << inTime << " of 2400, in all "
                                << answersWithin(world, 10s));
   // At most 1600 can be; a queue in order of arrival gives about 700.
