Steering: Ask both shortlists for a flow's owner at once

The second question, 100 ms later, found those, and the flow's packet went from target to target meanwhile.

Ruled out: losses (each of them was found by the next question).

Conclusion: what is still found late was placed while its shortlist was full (138 flows in a burst of three seconds).

--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -39,8 +39,8 @@
    * further.
    */
   static constexpr auto kAskMoreAfter = LoadTable::kAnswerTimeout;
-  /** Agents asked at once for an owner: the shortlist of the own zone. */
-  static constexpr std::size_t kFirstAsked = kShortlistSize;
+  /** Agents asked at once for an owner: both shortlists. */
+  static constexpr std::size_t kFirstAsked = 2 * kShortlistSize;
   /**
    * While targets come, a flow that nobody holds is reset only when a second
    * search so much later ends in the same way: twice the time for which a
