--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -20,7 +20,9 @@
 /** Behind magic, kind, flags and reason. */
 constexpr std::size_t kRevisionAt = 4;
 constexpr std::size_t kFieldsAt = 8;
-constexpr std::size_t kNoticeBytes = 16;
+constexpr std::size_t kFlowBytes = 12;
+constexpr std::size_t kNoticeBytes = kFlowBytes + 4;
+constexpr std::size_t kHintBytes = kFlowBytes + 6;
 
 std::uint8_t
 flagsOf(const AgentMessage& aMessage)
@@ -46,7 +48,7 @@
 isKnown(std::uint8_t aKind, std::uint8_t aReason)
 {
   return aKind >= static_cast<std::uint8_t>(MessageKind::Forward) &&
-         aKind <= static_cast<std::uint8_t>(MessageKind::Locate) &&
+         aKind <= static_cast<std::uint8_t>(MessageKind::OwnerElsewhere) &&
          aReason <= static_cast<std::uint8_t>(HandBackReason::Leaving);
 }
 
@@ -89,11 +91,29 @@
   aLoad.serviceTime = std::chrono::milliseconds(Packet::load16(aData + 6));
 }
 
+void
+storeFlow(const Packet::FlowKey& aFlow, std::uint8_t* aData)
+{
+  Packet::store32(aData, aFlow.caller.address);
+  Packet::store16(aData + 4, aFlow.caller.port);
+  Packet::store32(aData + 6, aFlow.service.address);
+  Packet::store16(aData + 10, aFlow.service.port);
+}
+
+Packet::FlowKey
+loadFlow(const std::uint8_t* aData)
+{
+  Packet::FlowKey flow;
+  flow.caller = { Packet::load32(aData), Packet::load16(aData + 4) };
+  flow.service = { Packet::load32(aData + 6), Packet::load16(aData + 10) };
+  return flow;
+}
+
 bool
 isFromBalancer(MessageKind aKind)
 {
   return aKind == MessageKind::Forward || aKind == MessageKind::Probe ||
-         aKind == MessageKind::Locate;
+         aKind == MessageKind::Locate || aKind == MessageKind::NoteOwner;
 }
 
 } // namespace
@@ -169,11 +189,8 @@
 OwnerNotice::appendTo(std::vector<std::uint8_t>& aBuffer) const
 {
   std::array<std::uint8_t, kNoticeBytes> body{};
-  Packet::store32(&body[0], flow.caller.address);
-  Packet::store16(&body[4], flow.caller.port);
-  Packet::store32(&body[6], flow.service.address);
-  Packet::store16(&body[10], flow.service.port);
-  Packet::store32(&body[12], sequence);
+  storeFlow(flow, body.data());
+  Packet::store32(&body[kFlowBytes], sequence);
   aBuffer.insert(aBuffer.end(), body.begin(), body.end());
 }
 
@@ -185,11 +202,33 @@
       absl::StrCat("an owner notice of ", aBody.size(), " bytes"));
   }
   OwnerNotice notice;
-  notice.flow.caller = { Packet::load32(&aBody[0]), Packet::load16(&aBody[4]) };
-  notice.flow.service = { Packet::load32(&aBody[6]),
-                          Packet::load16(&aBody[10]) };
-  notice.sequence = Packet::load32(&aBody[12]);
+  notice.flow = loadFlow(aBody.data());
+  notice.sequence = Packet::load32(&aBody[kFlowBytes]);
   return notice;
 }
 
+void
+OwnerHint::appendTo(std::vector<std::uint8_t>& aBuffer) const
+{
+  std::array<std::uint8_t, kHintBytes> body{};
+  storeFlow(flow, body.data());
+  Packet::store32(&body[kFlowBytes], agent.address);
+  Packet::store16(&body[kFlowBytes + 4], agent.port);
+  aBuffer.insert(aBuffer.end(), body.begin(), body.end());
+}
+
+absl::StatusOr<OwnerHint>
+OwnerHint::parse(absl::Span<const std::uint8_t> aBody)
+{
+  if (aBody.size() != kHintBytes) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("an owner hint of ", aBody.size(), " bytes"));
+  }
+  OwnerHint hint;
+  hint.flow = loadFlow(aBody.data());
+  hint.agent = { Packet::load32(&aBody[kFlowBytes]),
+                 Packet::load16(&aBody[kFlowBytes + 4]) };
+  return hint;
+}
+
 } // namespace Steering
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -26,6 +26,10 @@
   Probe = 5,
   /** Balancer to agent: asks for an owner notice if it knows the flow. */
   Locate = 6,
+  /** Balancer to agent: another agent has the flow; an owner hint follows. */
+  NoteOwner = 7,
+  /** Agent to balancer, to a Locate: an owner hint that it was told. */
+  OwnerElsewhere = 8,
 };
 
 /** Why an agent handed a packet back. */
@@ -117,4 +121,14 @@
     absl::Span<const std::uint8_t> aBody);
 };
 
+/** Which agent was seen to have a flow. It may have lost it since. */
+struct OwnerHint
+{
+  Packet::FlowKey flow;
+  Core::Endpoint agent;
+
+  void appendTo(std::vector<std::uint8_t>& aBuffer) const;
+  static absl::StatusOr<OwnerHint> parse(absl::Span<const std::uint8_t> aBody);
+};
+
 } // namespace Steering
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -101,6 +101,16 @@
     mCounters.increment(SteeringCounter::OwnerNotices);
   }
 
+  /** Tells a balancer which other agent has a flow. */
+  void sendHint(const Core::Endpoint& aTo,
+                const OwnerHint& aHint,
+                const ReportedLoad& aLoad)
+  {
+    begin(MessageKind::OwnerElsewhere, HandBackReason::None, aLoad);
+    aHint.appendTo(mBuffer);
+    mPort.sendToBalancer(aTo, mBuffer);
+  }
+
   void sendReport(const Core::Endpoint& aTo, const ReportedLoad& aLoad)
   {
     sendReport(mBalancers[tokenOf(aTo) - 1], aLoad);
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -91,6 +91,9 @@
       case MessageKind::OwnerNotice:
         handleNotice(aFrom, body, aNow);
         break;
+      case MessageKind::OwnerElsewhere:
+        handleElsewhere(body, aNow);
+        break;
       case MessageKind::LoadReport:
         mContext.counters.increment(SteeringCounter::LoadReports);
         if (mOpenings.hasWaiting()) {
@@ -100,6 +103,7 @@
       case MessageKind::Forward:
       case MessageKind::Probe:
       case MessageKind::Locate:
+      case MessageKind::NoteOwner:
         mContext.counters.increment(SteeringCounter::PacketsMalformed);
         break;
     }
@@ -240,6 +244,20 @@
     memory.declinedBy.clear();
     memory.exhaustedAt = {};
     mSearch.noteFound(notice->flow, asked);
+    if (isOffer || isFound) {
+      mSearch.tellOwner(notice->flow, aFrom);
+    }
+  }
+
+  void handleElsewhere(absl::Span<const std::uint8_t> aBody,
+                       Core::TimePoint aNow)
+  {
+    const auto hint = OwnerHint::parse(aBody);
+    if (!hint.ok()) {
+      mContext.counters.increment(SteeringCounter::PacketsMalformed);
+      return;
+    }
+    mSearch.tryNamed(*hint, aNow);
   }
 
   SteererContext<Format, Port> mContext;
--- a/src/libs/steering/searchside.h
+++ b/src/libs/steering/searchside.h
@@ -41,6 +41,8 @@
   static constexpr auto kAskMoreAfter = LoadTable::kAnswerTimeout;
   /** Agents asked at once for an owner: both shortlists. */
   static constexpr std::size_t kFirstAsked = 2 * kShortlistSize;
+  /** Agents that are told of an owner further on: one may restart. */
+  static constexpr std::size_t kTold = 2;
   /**
    * While targets come, a flow that nobody holds is reset only when a second
    * search so much later ends in the same way: twice the time for which a
@@ -121,6 +123,49 @@
     }
   }
 
+  /**
+   * Has those who are asked first for a flow know its owner, if the owner is
+   * not one of them.
+   */
+  void tellOwner(const Packet::FlowKey& aFlow, const Core::Endpoint& aOwner)
+  {
+    const auto* route = mContext.findRoute(aFlow);
+    if (route == nullptr) {
+      return;
+    }
+    const auto order =
+      searchOrder(*mContext.map, *route, mContext.self.zone, flowHash(aFlow));
+    const auto asked = std::min(order.size(), kFirstAsked);
+    for (std::size_t i = 0; i < asked; ++i) {
+      if (order[i]->agent == aOwner) {
+        return;
+      }
+    }
+    for (std::size_t i = 0; i < std::min(asked, kTold); ++i) {
+      mContext.sendHint(order[i]->agent, { aFlow, aOwner });
+    }
+  }
+
+  /** An agent was told that another one has the flow. */
+  void tryNamed(const OwnerHint& aHint, Core::TimePoint aNow)
+  {
+    auto* search = mSearches.find(aHint.flow);
+    auto* known = mContext.flows.find(aHint.flow);
+    const auto* route = mContext.findRoute(aHint.flow);
+    if (search == nullptr || known == nullptr || route == nullptr) {
+      return;
+    }
+    const bool isUseless = known->agent == aHint.agent ||
+                           known->passedOver.contains(aHint.agent) ||
+                           !mContext.map->serves(*route, aHint.agent);
+    if (!isUseless && !search->packets.empty()) {
+      known->agent = aHint.agent;
+      search->triedAt = aNow;
+      mContext.loads.noteAsked(aHint.agent, aNow);
+      mContext.forward(*Format::parse(search->packets.front()), *route, *known);
+    }
+  }
+
   /** Goes on where nobody answered. */
   void tick(Core::TimePoint aNow)
   {
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -120,6 +120,14 @@
     port.sendToAgent(aAgent, mBuffer);
   }
 
+  /** Tells an agent which other agent has a flow. */
+  void sendHint(const Core::Endpoint& aAgent, const OwnerHint& aHint)
+  {
+    beginMessage(MessageKind::NoteOwner);
+    aHint.appendTo(mBuffer);
+    port.sendToAgent(aAgent, mBuffer);
+  }
+
   /** Tells the caller that the flow does not exist, or has not run. */
   void sendReset(const PacketType& aPacket)
   {
--- a/src/libs/steering/targetgate.h
+++ b/src/libs/steering/targetgate.h
@@ -4,6 +4,7 @@
 #include "steering/balancerlinks.h"
 #include "steering/fleetmap.h"
 #include "steering/flowhash.h"
+#include "steering/ownerhints.h"
 #include "steering/packetformat.h"
 #include "steering/requestqueue.h"
 #include "steering/slotwait.h"
@@ -124,6 +125,10 @@
       handleLocate(aFrom, body, aNow);
       return;
     }
+    if (message->kind == MessageKind::NoteOwner) {
+      handleHint(body, aNow);
+      return;
+    }
     const auto packet = Format::parse(body);
     if (message->kind != MessageKind::Forward || !packet.ok()) {
       mCounters.increment(SteeringCounter::PacketsMalformed);
@@ -167,6 +172,7 @@
   {
     returnUnanswered(aNow);
     mFlows.expire(aNow);
+    mHints.expire(aNow);
     for (const auto& key : mQueue.takeUseless(aNow)) {
       mFlows.erase(key);
     }
@@ -241,7 +247,18 @@
     return aMessage.age >= aMessage.latencyObjective;
   }
 
-  /** Tells a balancer that asks whether this is the owner. */
+  /** Another agent has the flow; balancers will ask this one. */
+  void handleHint(absl::Span<const std::uint8_t> aBody, Core::TimePoint aNow)
+  {
+    const auto hint = OwnerHint::parse(aBody);
+    if (!hint.ok()) {
+      mCounters.increment(SteeringCounter::PacketsMalformed);
+      return;
+    }
+    mHints.note(hint->flow, hint->agent, aNow);
+  }
+
+  /** Tells a balancer that asks who owns a flow, as far as known. */
   void handleLocate(const Core::Endpoint& aFrom,
                     absl::Span<const std::uint8_t> aBody,
                     Core::TimePoint aNow)
@@ -254,6 +271,11 @@
     const auto* flow = mFlows.find(question->flow);
     if (flow != nullptr && flow->isConfirmed && !flow->isEnded) {
       sendNotice(aFrom, question->flow, 0, aNow);
+      return;
+    }
+    const auto owner = mHints.find(question->flow);
+    if (!owner.isNull()) {
+      mLinks.sendHint(aFrom, { question->flow, owner }, load(aNow));
     }
   }
 
@@ -566,6 +588,7 @@
   Telemetry::HistogramSet& mHistograms;
   Core::TimePoint mStartedAt;
   TargetGateFlows mFlows;
+  OwnerHints mHints;
   RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, Opening> mOpenings;
   std::uint32_t mSlots = 1;
--- a/src/libs/transport/udpsocket.cpp
+++ b/src/libs/transport/udpsocket.cpp
@@ -55,8 +55,8 @@
 UdpSocket::tellArrivalTimes()
 {
   constexpr int kOn = 1;
-  if (setsockopt(
-        descriptor(), SOL_SOCKET, SO_TIMESTAMPNS, &kOn, sizeof(kOn)) != 0) {
+  if (setsockopt(descriptor(), SOL_SOCKET, SO_TIMESTAMPNS, &kOn, sizeof(kOn)) !=
+      0) {
     return Core::lastSystemError("have a UDP socket tell arrival times",
                                  Core::formatEndpoint(mEndpoint));
   }
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -148,6 +148,18 @@
     Steering::OwnerNotice{ Test::flowOf(aCaller), aSequence }.appendTo(bytes);
     engine.handleAgentMessage(aFrom, bytes, now);
   }
+  /** The agent was told that another one has the flow. */
+  void hint(const Core::Endpoint& aFrom,
+            std::uint16_t aCaller,
+            const Core::Endpoint& aOwner)
+  {
+    AgentMessage message;
+    message.kind = MessageKind::OwnerElsewhere;
+    Bytes bytes;
+    message.appendTo(bytes);
+    Steering::OwnerHint{ Test::flowOf(aCaller), aOwner }.appendTo(bytes);
+    engine.handleAgentMessage(aFrom, bytes, now);
+  }
   void report(const Core::Endpoint& aFrom,
               std::uint16_t aInProgress,
               bool aKnowsAllFlows = false)
@@ -456,6 +468,112 @@
   CHECK_FALSE(f.port.toAgents.back().message.wantsNotice);
 }
 
+namespace {
+
+/** Agents of a service of 20 in the order in which an owner is searched. */
+std::vector<Core::Endpoint>
+adoptLargeService(Fixture& aFixture, std::uint16_t aCaller)
+{
+  std::vector<std::uint8_t> targets;
+  for (std::uint8_t i = 1; i <= 20; ++i) {
+    targets.push_back(i);
+  }
+  aFixture.adopt(targets, 2);
+  const auto flow = Test::flowOf(aCaller);
+  const auto map = aFixture.engine.map();
+  std::vector<Core::Endpoint> agents;
+  for (const auto* target : Steering::searchOrder(
+         *map, *map->findRoute(flow.service), "z1", Steering::flowHash(flow))) {
+    agents.push_back(target->agent);
+  }
+  return agents;
+}
+
+std::vector<FakePort::Sent>
+hintsOf(const Fixture& aFixture)
+{
+  std::vector<FakePort::Sent> hints;
+  for (const auto& it : aFixture.port.toAgents) {
+    if (it.message.kind == MessageKind::NoteOwner) {
+      hints.push_back(it);
+    }
+  }
+  return hints;
+}
+
+} // namespace
+
+TEST_CASE("agents that are asked first are told of an owner further on")
+{
+  Fixture f;
+  const auto agents = adoptLargeService(f, 1);
+  REQUIRE(agents.size() == 20);
+  SUBCASE("when the flow opens")
+  {
+    f.open(1);
+    f.notice(agents[12], 1, 500);
+  }
+  SUBCASE("when its owner is found")
+  {
+    f.ask(1);
+    f.notice(agents[12], 1);
+  }
+  const auto hints = hintsOf(f);
+  REQUIRE(hints.size() == 2);
+  for (std::size_t i = 0; i < hints.size(); ++i) {
+    CHECK(hints[i].to == agents[i]);
+    const auto hint = Steering::OwnerHint::parse(hints[i].body);
+    REQUIRE(hint.ok());
+    CHECK(hint->flow == Test::flowOf(1));
+    CHECK(hint->agent == agents[12]);
+  }
+}
+
+TEST_CASE("nobody is told of an owner that is asked first")
+{
+  Fixture f;
+  const auto agents = adoptLargeService(f, 1);
+  f.open(1);
+  f.notice(agents[1], 1, 500);
+  CHECK(hintsOf(f).empty());
+}
+
+TEST_CASE("the owner that an agent names gets a packet at once")
+{
+  Fixture f;
+  const auto agents = adoptLargeService(f, 1);
+  f.say(1);
+  f.say(1);
+  CHECK(f.last() == Core::Endpoint{});
+  f.hint(agents[0], 1, agents[12]);
+  CHECK(f.last() == agents[12]);
+  const auto sent = f.port.toAgents.size();
+  CHECK(f.port.toAgents.back().message.wantsNotice);
+  SUBCASE("and the others when it has the flow")
+  {
+    f.notice(agents[12], 1);
+    REQUIRE(f.port.toAgents.size() > sent);
+    CHECK(f.port.toAgents[sent].message.kind == MessageKind::Forward);
+    CHECK(f.port.toAgents[sent].to == agents[12]);
+  }
+  SUBCASE("and is not believed twice")
+  {
+    f.handBack(
+      agents[12], HandBackReason::NotHeld, f.port.toAgents.back().body);
+    CHECK(f.last() != agents[12]);
+    f.hint(agents[1], 1, agents[12]);
+    CHECK(f.last() != agents[12]);
+  }
+}
+
+TEST_CASE("a hint at an agent of no target is ignored")
+{
+  Fixture f;
+  f.say(1);
+  f.hint(Fixture::agent(1), 1, Fixture::agent(99));
+  CHECK(f.last() == Core::Endpoint{});
+}
+
 TEST_CASE("agents that may not know all their flows are asked first")
 {
   Fixture f;
--- a/tests/auto/steering/tst_targetgate.cpp
+++ b/tests/auto/steering/tst_targetgate.cpp
@@ -455,6 +455,55 @@
   CHECK(f.port.toBalancers.size() == before + 1);
 }
 
+TEST_CASE("an agent passes on who has a flow that it was told of")
+{
+  Fixture f;
+  const Core::Endpoint owner{ 0x0A020009, 8172 };
+  const auto send = [&f](MessageKind aKind, const Bytes& aBody) {
+    AgentMessage message;
+    message.kind = aKind;
+    Bytes bytes;
+    message.appendTo(bytes);
+    bytes.insert(bytes.end(), aBody.begin(), aBody.end());
+    f.gate.handleBalancerMessage(kOther, bytes, f.now);
+  };
+  Bytes hint;
+  Steering::OwnerHint{ Test::flowOf(1), owner }.appendTo(hint);
+  Bytes question;
+  Steering::OwnerNotice{ Test::flowOf(1), 0 }.appendTo(question);
+  send(MessageKind::NoteOwner, hint);
+  CHECK(f.port.toBalancers.empty());
+  send(MessageKind::Locate, question);
+  REQUIRE(f.port.toBalancers.size() == 1);
+  const auto& answer = f.port.toBalancers.back();
+  CHECK(answer.to == kOther);
+  CHECK(answer.message.kind == MessageKind::OwnerElsewhere);
+  const auto told = Steering::OwnerHint::parse(answer.body);
+  REQUIRE(told.ok());
+  CHECK(told->flow == Test::flowOf(1));
+  CHECK(told->agent == owner);
+
+  SUBCASE("until it has the flow itself")
+  {
+    f.startRequest(1);
+    send(MessageKind::Locate, question);
+    CHECK(f.port.toBalancers.back().message.kind == MessageKind::OwnerNotice);
+  }
+  SUBCASE("for a minute")
+  {
+    f.now += 60s;
+    f.gate.tick(f.now);
+    send(MessageKind::Locate, question);
+    CHECK(f.port.toBalancers.size() == 1);
+  }
+  SUBCASE("and drops hints that it cannot read")
+  {
+    send(MessageKind::NoteOwner, question);
+    CHECK(f.gate.counters().value(
+            Steering::SteeringCounter::PacketsMalformed) == 1);
+  }
+}
+
 TEST_CASE("an agent that runs for long knows all flows in use")
 {
   Fixture f;
--- a/tests/flowworld/tst_flowworld.cpp
+++ b/tests/flowworld/tst_flowworld.cpp
@@ -297,3 +297,26 @@
   CHECK(countOf(world, AttemptState::Closed) == 120);
   checkPromises(world);
 }
+
+TEST_CASE("flows placed where there was room are found without a walk")
+{
+  // Two slots a target, so that the first choices of many flows are full.
+  FlowWorld::FlowWorldSettings settings;
+  settings.targets = 37;
+  settings.slots = 2;
+  World world(settings);
+  world.killBalancer("b1");
+  for (int i = 0; i < 200; ++i) {
+    world.open("red", 0, 8, 300ms);
+    world.advance(1ms);
+  }
+  // All are answered, and nobody asks again yet: no packet is lost.
+  world.advance(100ms);
+  world.startBalancer("b1");
+  world.killBalancer("b3");
+  world.advance(8s);
+  CHECK(countOf(world, AttemptState::Closed) == 200);
+  // A request of 30 ms, a question and its answer between zones, the way.
+  CHECK(answersWithin(world, 150ms) == 200 * 8);
+  checkPromises(world);
+}
