Ownership: Do not count an own sleep as the silence of others

Change: an agent that slept moves the last sign of life of its flows and peers on by the time of the sleep.

--- a/src/libs/ownership/agentengine.h
+++ b/src/libs/ownership/agentengine.h
@@ -175,6 +175,8 @@
     }
     mTickedAt = aNow;
     mContext.viewConfirmedAt = aNow - mContext.kViewLease - kSleepLimit;
+    mOwnerSide.noteSleep(gap);
+    mContext.board.noteSleep(gap);
     mContext.events.write(
       Telemetry::Event::ProcessSlept,
       absl::StrCat(
--- a/src/libs/ownership/loadboard.cpp
+++ b/src/libs/ownership/loadboard.cpp
@@ -64,6 +64,14 @@
   return known ? &it->second : nullptr;
 }
 
+void
+LoadBoard::noteSleep(Core::Duration aTime)
+{
+  for (auto& [identity, peer] : mPeers) {
+    peer.heardAt += aTime;
+  }
+}
+
 bool
 LoadBoard::isAlive(Config::Identity aPeer, Core::TimePoint aNow) const
 {
--- a/src/libs/ownership/loadboard.h
+++ b/src/libs/ownership/loadboard.h
@@ -48,6 +48,8 @@
 {
 public:
   void report(const Messages::LoadReport& aReport, Core::TimePoint aNow);
+  /** The process did not run for so long; that is no silence of peers. */
+  void noteSleep(Core::Duration aTime);
   void noteAssigned(Config::Identity aPeer, Core::TimePoint aNow);
 
   /** Null for a peer that never reported. */
--- a/src/libs/ownership/ownerside.h
+++ b/src/libs/ownership/ownerside.h
@@ -199,6 +199,14 @@
     }
   }
 
+  /** The process did not run for so long; that is no silence of callers. */
+  void noteSleep(Core::Duration aTime)
+  {
+    mFlows.forEach([aTime](const auto&, OwnedFlow& aEntry) {
+      aEntry.lastPacketAt += aTime;
+    });
+  }
+
   /** Ends flows that were silent for too long and forgets ended ones. */
   void expire(Core::TimePoint aNow)
   {
--- a/tests/auto/ownership/tst_ownership.cpp
+++ b/tests/auto/ownership/tst_ownership.cpp
@@ -197,3 +197,14 @@
   CHECK(budget.has(500, kStart + std::chrono::milliseconds(500)));
   CHECK_FALSE(budget.has(1'001, kStart + std::chrono::hours(1)));
 }
+
+TEST_CASE("peers are not taken for dead after an own sleep")
+{
+  LoadBoard board;
+  board.report(report(1, 1, 0), kStart);
+  const auto later = kStart + std::chrono::seconds(3);
+  CHECK_FALSE(board.isAlive(1, later));
+  board.noteSleep(std::chrono::seconds(3));
+  CHECK(board.isAlive(1, later));
+  CHECK_FALSE(board.isAlive(1, later + std::chrono::seconds(2)));
+}
