Tests: Wait until the kernel notes arrival times

Where no socket asked for arrival times before, the kernel begins to note them a moment later, and gives a datagram that came before that the time of reading. The test sent its only datagram within that moment.

The checks are unchanged.

Conclusion: no fault of the receivers; a process that just started has no old datagrams. The doc comment of tellArrivalTimes() says it.

--- a/src/libs/transport/udpsocket.h
+++ b/src/libs/transport/udpsocket.h
@@ -15,7 +15,11 @@
   /** Errors tell the endpoint. */
   static absl::StatusOr<UdpSocket> bind(const Core::Endpoint& aEndpoint);
 
-  /** From now on the kernel notes when each datagram came. */
+  /**
+   * From now on the kernel notes when each datagram came. On a machine where
+   * nobody asked before it begins a moment later; until then a datagram counts
+   * as one that came when it is read.
+   */
   absl::Status tellArrivalTimes();
 
   int descriptor() const { return mDescriptor.value(); }
--- a/tests/auto/transport/tst_transport.cpp
+++ b/tests/auto/transport/tst_transport.cpp
@@ -32,6 +32,7 @@
     REQUIRE(from.ok());
     REQUIRE(to.ok());
     REQUIRE(to->tellArrivalTimes().ok());
+    awaitArrivalTimes();
   }
 
   void send(const std::string& aText) const
@@ -59,6 +60,22 @@
              aText.size() };
   }
 
+  /**
+   * The kernel begins to note times a moment after it was asked to; until then
+   * a datagram counts as one that came when it is read.
+   */
+  void awaitArrivalTimes() const
+  {
+    constexpr int kMostTries = 10'000;
+    Transport::DatagramReceiver receiver(kBytes, 1ms);
+    for (int i = 0; i < kMostTries && receiver.staleCount() == 0; ++i) {
+      send("time");
+      std::this_thread::sleep_for(5ms);
+      receive(receiver);
+    }
+    REQUIRE(receiver.staleCount() > 0);
+  }
+
   void awaitDatagram() const
   {
     pollfd entry{ to->descriptor(), POLLIN, 0 };
