Platform: Follow a store that is restored from an older copy

Maps, peers and messages compared bare revisions, which a restored store gives out again.

Ruled out: taking whatever the store answers (the configuration would revert and targets that had left would get work); shorter watches to notice a store that has outgrown the known revision (each is a charged call).

Change: revisions are (era, change) everywhere (MapRevision). Every repetition of a call has a delay. The flow simulation runs on a simulated store (StoreLog), PlatformStore serves it over HTTP; random schedules restore it.

--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -18,8 +18,9 @@
 constexpr std::uint8_t kUnavailableFlag = 0x08;
 constexpr std::uint8_t kFullHistoryFlag = 0x10;
 /** After magic, kind, flags and reason. */
-constexpr std::size_t kRevisionOffset = 4;
-constexpr std::size_t kFieldsOffset = 8;
+constexpr std::size_t kEraOffset = 4;
+constexpr std::size_t kChangeOffset = 8;
+constexpr std::size_t kFieldsOffset = 16;
 constexpr std::size_t kFlowKeyBytes = 12;
 constexpr std::size_t kOwnerNoticeBytes = kFlowKeyBytes + 4;
 constexpr std::size_t kOwnerHintBytes = kFlowKeyBytes + 6;
@@ -152,7 +153,8 @@
   header[1] = static_cast<std::uint8_t>(kind);
   header[2] = encodeFlags(*this);
   header[3] = static_cast<std::uint8_t>(reason);
-  Packet::store32(&header[kRevisionOffset], mapRevision);
+  Packet::store32(&header[kEraOffset], mapRevision.era);
+  Packet::store64(&header[kChangeOffset], mapRevision.change);
   if (isFromBalancer(kind)) {
     writeRequestFields(*this, &header[kFieldsOffset]);
   } else {
@@ -178,7 +180,8 @@
   message.reason = static_cast<RejectReason>(aData[3]);
   message.wantsOwnerNotice = (flags & kWantsOwnerNoticeFlag) != 0;
   message.isLongLived = (flags & kLongLivedFlag) != 0;
-  message.mapRevision = Packet::load32(&aData[kRevisionOffset]);
+  message.mapRevision = { Packet::load32(&aData[kEraOffset]),
+                          Packet::load64(&aData[kChangeOffset]) };
   if (isFromBalancer(message.kind)) {
     readRequestFields(&aData[kFieldsOffset], message);
   } else {
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/maprevision.h"
+
 #include "packet/flowkey.h"
 
 #include <absl/status/statusor.h>
@@ -88,7 +90,7 @@
  */
 struct AgentMessage
 {
-  static constexpr std::size_t kBytes = 20;
+  static constexpr std::size_t kBytes = 28;
 
   MessageKind kind = MessageKind::Probe;
   RejectReason reason = RejectReason::None;
@@ -100,10 +102,10 @@
   /** Forward: the flow carries many requests. */
   bool isLongLived = false;
   /**
-   * Low 32 bits of the newest fleet map revision that the sender knows. It
-   * shows a balancer that others have a newer map.
+   * The newest fleet map revision that the sender knows. It shows a balancer
+   * that others have a newer map.
    */
-  std::uint32_t mapRevision = 0;
+  MapRevision mapRevision;
   /** Forward: identifies the service; see FleetMap::serviceTag(). */
   std::uint32_t serviceTag = 0;
   /** Forward: slots of the backend server in the balancer's fleet map. */
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -32,7 +32,7 @@
   static constexpr std::chrono::seconds kBalancerTimeout{ 3 };
   static constexpr std::chrono::milliseconds kMinReportInterval{ 100 };
   /**
-   * Limit for the reports of one agent to all balancers; 50 reports of 48 bytes
+   * Limit for the reports of one agent to all balancers; 50 reports of 56 bytes
    * are 2.4 KB/s.
    */
   static constexpr int kMaxReportsPerSecond = 50;
@@ -45,7 +45,7 @@
 
   /** Records that a balancer sent a message. */
   void recordMessage(const Core::Endpoint& aFrom,
-                     std::uint32_t aMapRevision,
+                     const MapRevision& aMapRevision,
                      Core::TimePoint aNow)
   {
     mBalancers[tokenOf(aFrom) - 1].lastMessageAt = aNow;
@@ -217,7 +217,7 @@
   /** Maps an endpoint to the index in mBalancers plus one. */
   absl::flat_hash_map<std::uint64_t, std::uint32_t> mTokens;
   /** Newest fleet map revision received from any balancer. */
-  std::uint32_t mNewestMapRevision = 0;
+  MapRevision mNewestMapRevision;
   std::size_t mLastNotified = 0;
   std::vector<std::uint8_t> mBuffer;
 };
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/maprevision.h"
+
 #include "core/clock.h"
 #include "core/endpoint.h"
 
@@ -106,7 +108,7 @@
   /** Version of the configuration document. */
   std::uint64_t version() const { return mVersion; }
   /** Increases with each change of the configuration or the targets. */
-  std::uint64_t revision() const { return mRevision; }
+  const MapRevision& revision() const { return mRevision; }
   const std::vector<Service>& services() const { return mServices; }
   /** Null if no route has this address. */
   const Route* findRoute(const Core::Endpoint& aAddress) const;
@@ -133,7 +135,7 @@
   friend class FleetMapBuilder;
 
   std::uint64_t mVersion = 0;
-  std::uint64_t mRevision = 0;
+  MapRevision mRevision;
   std::vector<Service> mServices;
   absl::flat_hash_map<std::uint64_t, Route> mRoutes;
   /** Service index and target index by agent. */
--- a/src/libs/steering/fleetmapbuilder.cpp
+++ b/src/libs/steering/fleetmapbuilder.cpp
@@ -13,7 +13,7 @@
 }
 
 FleetMapBuilder&
-FleetMapBuilder::revision(std::uint64_t aRevision)
+FleetMapBuilder::revision(const MapRevision& aRevision)
 {
   mMap->mRevision = aRevision;
   return *this;
--- a/src/libs/steering/fleetmapbuilder.h
+++ b/src/libs/steering/fleetmapbuilder.h
@@ -31,7 +31,7 @@
   static constexpr std::chrono::seconds kRemovedTargetRetention{ 60 };
 
   FleetMapBuilder& version(std::uint64_t aVersion);
-  FleetMapBuilder& revision(std::uint64_t aRevision);
+  FleetMapBuilder& revision(const MapRevision& aRevision);
   FleetMapBuilder& route(RouteDeclaration aRoute);
   FleetMapBuilder& target(absl::string_view aService, Target aTarget);
   /** Adds the targets of the previous map that are no longer announced. */
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -277,7 +277,7 @@
         .add("longFlows", load.longLivedFlows())
         .add("zone", aChosen.target->zone)
         .add("waitedMs", aAge)
-        .add("revision", mContext.map->revision());
+        .add("revision", formatMapRevision(mContext.map->revision()));
       if (load.reportedAt != Core::TimePoint{}) {
         fields.add("loadAgeMs",
                    std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -355,7 +355,7 @@
         .add("name", aService.name)
         .add("why", "every target rejected it")
         .add("targets", aService.targets.size())
-        .add("revision", mContext.map->revision());
+        .add("revision", formatMapRevision(mContext.map->revision()));
     });
     mContext.sendReset(aPacket);
     mContext.flowCache.erase(aFlow);
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -216,8 +216,8 @@
   {
     mContext.counters.increment(SteeringCounter::FlowsSearched);
     mContext.events.write(Telemetry::Event::FlowSearched, [&] {
-      return mContext.flowFields(aFlow).add("revision",
-                                            mContext.map->revision());
+      return mContext.flowFields(aFlow).add(
+        "revision", formatMapRevision(mContext.map->revision()));
     });
     auto& cachedFlow = mContext.flowCache.insert(aFlow, aNow);
     cachedFlow.isEstablished = true;
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -58,10 +58,10 @@
   {
   }
 
-  /** Zero if there is no map. */
-  std::uint32_t mapRevision() const
+  /** Null if there is no map. */
+  MapRevision mapRevision() const
   {
-    return map == nullptr ? 0 : static_cast<std::uint32_t>(map->revision());
+    return map == nullptr ? MapRevision{} : map->revision();
   }
 
   /**
@@ -162,7 +162,7 @@
     events.write(Telemetry::Event::FlowNotFound, [&] {
       return flowFields(aPacket.flowFromCaller())
         .add("why", aReason)
-        .add("revision", map->revision());
+        .add("revision", formatMapRevision(map->revision()));
     });
     sendReset(aPacket);
   }
@@ -174,7 +174,7 @@
   /** The platform answers, so the map should be up to date. */
   bool isPlatformReachable = false;
   /** The newest map revision that any agent has reported. */
-  std::uint32_t newestReportedRevision = 0;
+  MapRevision newestReportedRevision;
   /** Until this time there may be targets that are not in the map yet. */
   Core::TimePoint targetsSettledAt{};
   FlowCache flowCache;
--- a/src/libs/telemetry/eventcatalogue.cpp
+++ b/src/libs/telemetry/eventcatalogue.cpp
@@ -43,6 +43,7 @@
   EventDescription{ Event::SettingsRefused,
                     Severity::Error,
                     "settings-refused" },
+  EventDescription{ Event::StoreRestored, Severity::Warning, "store-restored" },
   EventDescription{ Event::MalformedPacket,
                     Severity::Warning,
                     "malformed-packet" },
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -21,6 +21,7 @@
   EntryUnreadable = 206,
   SettingsReloaded = 207,
   SettingsRefused = 208,
+  StoreRestored = 209,
   MalformedPacket = 300,
   WrongService = 301,
   FlowNotFound = 302,
--- /dev/null
+++ b/tests/auto/platform/storefixture.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "standins/platformstore.h"
+
+#include "platform/publishedsnapshot.h"
+#include "platform/snapshotsource.h"
+#include "platform/storewatch.h"
+
+#include "core/stopsource.h"
+#include "core/systemclock.h"
+#include "steering/sharedfleetmap.h"
+#include "telemetry/eventlog.h"
+#include "telemetry/statusserver.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace PlatformTesting {
+
+/** A configuration that routes one address to the service "red". */
+std::string
+configurationText(unsigned aVersion, const std::string& aRouteName = "r");
+
+/** An announcement of a backend server of the service "red". */
+std::string
+announcementText(const std::string& aAddress,
+                 const std::string& aState = "ready",
+                 unsigned aStartedAt = 1'000,
+                 const std::string& aService = "red");
+
+/** What a balancer runs to follow the store, with the map that results. */
+class Follower
+{
+public:
+  explicit Follower(const Core::Endpoint& aStore,
+                    std::vector<Core::Endpoint> aPeers = {});
+  ~Follower();
+
+  void start();
+  /** 0 until there is a map. */
+  std::uint64_t version() const;
+  /** The name of the route; empty if there is none. */
+  std::string routeName() const;
+  /** Whether the target at the address gets new flows now. */
+  bool accepts(const std::string& aAddress) const;
+
+  Platform::PublishedSnapshot published;
+  Steering::SharedFleetMap fleetMap;
+
+private:
+  std::unique_ptr<Core::StopSource> mStop;
+  Telemetry::EventLog mEvents;
+  std::vector<Core::Endpoint> mPeers;
+  Platform::SnapshotSource mSource;
+  Platform::StoreWatch mWatch;
+};
+
+/** Serves a follower's snapshot to its peers on a loopback port. */
+struct PeerServer
+{
+  Core::Endpoint endpoint;
+  std::unique_ptr<Telemetry::StatusServer> server;
+};
+
+PeerServer
+startPeerServer(const Follower& aFollower);
+
+/** Waits until the condition holds, for at most five seconds. */
+template<typename Condition>
+bool
+waitFor(Condition aCondition)
+{
+  constexpr std::chrono::milliseconds kLimit{ 5'000 };
+  constexpr std::chrono::milliseconds kInterval{ 5 };
+  const Core::SystemClock clock;
+  const auto end = clock.now() + kLimit;
+  while (!aCondition()) {
+    if (clock.now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kInterval);
+  }
+  return true;
+}
+
+} // namespace PlatformTesting
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -39,13 +39,13 @@
   void put(const std::string& aKey, const std::string& aValue)
   {
     ++mRevision;
-    snapshot.apply({ { aKey, aValue, mRevision, false } }, mRevision);
+    snapshot.apply({ { aKey, aValue, revision(), false } }, revision(), {});
   }
 
   void erase(const std::string& aKey)
   {
     ++mRevision;
-    snapshot.apply({ { aKey, "", mRevision, true } }, mRevision);
+    snapshot.apply({ { aKey, "", revision(), true } }, revision(), {});
   }
 
   Platform::DecodedMap decode(
@@ -58,6 +58,8 @@
   Platform::StoreSnapshot snapshot;
 
 private:
+  Steering::MapRevision revision() const { return { 1, mRevision }; }
+
   std::uint64_t mRevision = 0;
 };
 
@@ -242,3 +244,21 @@
   builder.put("op/config", "{");
   CHECK(builder.decode().map == nullptr);
 }
+
+TEST_CASE(
+  "a target that is held back after a restore may own flows but gets no "
+  "new ones")
+{
+  SnapshotBuilder builder;
+  builder.put("servers/i-1", serverEntry("red", "10.0.0.1:8080"));
+  builder.erase("servers/i-1");
+  builder.snapshot.replace(
+    { { "op/config", kConfiguration, { 2, 1 }, false },
+      { "servers/i-1", serverEntry("red", "10.0.0.1:8080"), { 2, 2 }, false } },
+    { 2, 2 },
+    {});
+  const auto decoded = builder.decode();
+  const auto* target = decoded.map->findTarget(agentEndpoint("10.0.0.1"));
+  REQUIRE(target != nullptr);
+  CHECK_FALSE(target->acceptsNewFlows(Core::TimePoint(1s)));
+}
--- /dev/null
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -0,0 +1,266 @@
+#include "storefixture.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace PlatformTesting;
+
+/** A store with a configuration and two backend servers, and its follower. */
+struct Fixture
+{
+  Fixture()
+  {
+    store.put("op/config", configurationText(1));
+    store.put("servers/a", announcementText("10.0.0.1"));
+    store.put("servers/b", announcementText("10.0.0.2"));
+  }
+
+  void startFollower()
+  {
+    follower.start();
+    REQUIRE(waitFor([&] { return follower.version() == 1; }));
+  }
+
+  void putConfiguration(unsigned aVersion)
+  {
+    store.put("op/config", configurationText(aVersion));
+    REQUIRE(waitFor([&] { return follower.version() == aVersion; }));
+  }
+
+  Standins::PlatformStore store;
+  Follower follower{ store.endpoint() };
+};
+
+} // namespace
+
+TEST_CASE("after a restore the configuration in force stays until the operator "
+          "writes it again")
+{
+  Fixture f;
+  f.startFollower();
+  f.putConfiguration(2);
+  f.putConfiguration(3);
+  f.store.restore(2);
+  std::this_thread::sleep_for(1s);
+  CHECK(f.follower.version() == 3);
+  SUBCASE("with the same content")
+  {
+    f.store.put("op/config", configurationText(3));
+  }
+  SUBCASE("with other content under the same version")
+  {
+    f.store.put("op/config", configurationText(3, "other"));
+    CHECK(waitFor([&] { return f.follower.routeName() == "other"; }));
+  }
+  SUBCASE("after an older one")
+  {
+    f.store.put("op/config", configurationText(2));
+    std::this_thread::sleep_for(600ms);
+    CHECK(f.follower.version() == 3);
+  }
+  f.putConfiguration(4);
+}
+
+TEST_CASE("after a restore other changes take effect while the configuration "
+          "in force is missing from the copy")
+{
+  Fixture f;
+  f.startFollower();
+  f.putConfiguration(2);
+  f.store.restore(1);
+  f.store.put("servers/c", announcementText("10.0.0.3"));
+  CHECK(waitFor([&] { return f.follower.accepts("10.0.0.3"); }));
+  CHECK(f.follower.version() == 2);
+}
+
+TEST_CASE("a restored store is followed with few calls")
+{
+  Fixture f;
+  f.startFollower();
+  for (unsigned version = 2; version <= 10; ++version) {
+    f.store.put("op/config", configurationText(version));
+  }
+  REQUIRE(waitFor([&] { return f.follower.version() == 10; }));
+  const auto callsBefore = f.store.callCount();
+  f.store.restore(9);
+  std::this_thread::sleep_for(3s);
+  CHECK(f.store.callCount() - callsBefore <= 8);
+  CHECK(f.follower.version() == 10);
+}
+
+TEST_CASE("a store that discards its history again and again is not called in "
+          "a loop")
+{
+  Fixture f;
+  f.store.discardHistory();
+  f.startFollower();
+  std::this_thread::sleep_for(3s);
+  CHECK(f.store.callCount() <= 24);
+}
+
+TEST_CASE("a store that ends its watches at once is not called in a loop")
+{
+  Fixture f;
+  f.store.setWatchesReturnAtOnce(true);
+  f.startFollower();
+  std::this_thread::sleep_for(3s);
+  CHECK(f.store.callCount() <= 24);
+}
+
+TEST_CASE("after a restore a backend server that is missing from the copy "
+          "stays in use until living ones have announced themselves again")
+{
+  Fixture f;
+  f.startFollower();
+  f.store.put("servers/c", announcementText("10.0.0.3"));
+  REQUIRE(waitFor([&] { return f.follower.accepts("10.0.0.3"); }));
+  f.store.restore(1);
+  std::this_thread::sleep_for(1s);
+  CHECK(f.follower.accepts("10.0.0.3"));
+  SUBCASE("and longer if it announces itself")
+  {
+    f.store.put("servers/c", announcementText("10.0.0.3"));
+    std::this_thread::sleep_for(3s);
+    CHECK(f.follower.accepts("10.0.0.3"));
+  }
+  SUBCASE("and no longer if it does not")
+  {
+    CHECK(waitFor([&] { return !f.follower.accepts("10.0.0.3"); }));
+  }
+  CHECK(f.follower.accepts("10.0.0.1"));
+}
+
+TEST_CASE("after a restore a draining backend server gets no new work")
+{
+  Fixture f;
+  f.startFollower();
+  f.store.put("servers/b", announcementText("10.0.0.2", "draining"));
+  REQUIRE(waitFor([&] { return !f.follower.accepts("10.0.0.2"); }));
+  f.store.restore(1);
+  f.store.put("op/config", configurationText(2));
+  REQUIRE(waitFor([&] { return f.follower.version() == 2; }));
+  CHECK_FALSE(f.follower.accepts("10.0.0.2"));
+  SUBCASE("unless another process started under its name")
+  {
+    f.store.put("servers/b", announcementText("10.0.0.2", "ready", 2'000));
+    CHECK(waitFor([&] { return f.follower.accepts("10.0.0.2"); }));
+  }
+}
+
+TEST_CASE("after a restore a backend server that had left gets no new work")
+{
+  Fixture f;
+  f.startFollower();
+  f.store.erase("servers/b");
+  REQUIRE(waitFor(
+    [&] { return f.follower.fleetMap.current()->acceptingCount() == 1; }));
+  std::this_thread::sleep_for(2'200ms);
+  REQUIRE_FALSE(f.follower.accepts("10.0.0.2"));
+  f.store.restore(1);
+  f.store.put("op/config", configurationText(2));
+  REQUIRE(waitFor([&] { return f.follower.version() == 2; }));
+  CHECK_FALSE(f.follower.accepts("10.0.0.2"));
+  f.store.erase("servers/b");
+  std::this_thread::sleep_for(1s);
+  CHECK_FALSE(f.follower.accepts("10.0.0.2"));
+}
+
+TEST_CASE("after a restore an address stays with the service that took it over")
+{
+  Fixture f;
+  f.startFollower();
+  f.store.erase("servers/b");
+  f.store.put("servers/c",
+              announcementText("10.0.0.2", "ready", 2'000, "blue"));
+  const auto serviceOfAddress = [&] {
+    const auto map = f.follower.fleetMap.current();
+    return map->serviceOf({ *Core::parseAddress("10.0.0.2"), 8172 }).name;
+  };
+  REQUIRE(waitFor([&] { return serviceOfAddress() == "blue"; }));
+  f.store.restore(2);
+  f.store.put("op/config", configurationText(2));
+  REQUIRE(waitFor([&] { return f.follower.version() == 2; }));
+  CHECK(serviceOfAddress() == "blue");
+}
+
+TEST_CASE("an answer of an earlier era or with an invalid one is not used")
+{
+  Fixture f;
+  f.store.setEra(4);
+  f.startFollower();
+  SUBCASE("an earlier era")
+  {
+    f.store.setEra(3);
+    f.store.put("op/config", configurationText(2));
+    std::this_thread::sleep_for(1s);
+    CHECK(f.follower.version() == 1);
+    f.store.setEra(4);
+  }
+  SUBCASE("an invalid era")
+  {
+    f.store.overrideEraHeader("many");
+    f.store.put("op/config", configurationText(2));
+    std::this_thread::sleep_for(1s);
+    CHECK(f.follower.version() == 1);
+    f.store.overrideEraHeader("");
+  }
+  CHECK(waitFor([&] { return f.follower.version() == 2; }));
+}
+
+TEST_CASE("an answer without an era belongs to the known one")
+{
+  Fixture f;
+  f.store.setEra(4);
+  f.startFollower();
+  f.store.overrideEraHeader("-");
+  f.putConfiguration(2);
+  CHECK(f.follower.fleetMap.current()->revision().era == 4);
+}
+
+TEST_CASE("a read during which the store is restored is repeated")
+{
+  Fixture f;
+  f.store.setPageSize(1);
+  f.store.put("servers/c", announcementText("10.0.0.3"));
+  f.store.restoreDuringNextRead(1);
+  f.startFollower();
+  CHECK(f.follower.fleetMap.current()->revision().era == 2);
+  CHECK_FALSE(f.follower.accepts("10.0.0.3"));
+  CHECK(f.follower.accepts("10.0.0.2"));
+}
+
+TEST_CASE("a process that starts after a restore learns from a peer what the "
+          "copy lacks")
+{
+  Fixture f;
+  f.startFollower();
+  f.putConfiguration(2);
+  f.store.restore(1);
+  REQUIRE(waitFor(
+    [&] { return f.follower.fleetMap.current()->revision().era == 2; }));
+  const auto peerServer = startPeerServer(f.follower);
+  Follower newcomer(f.store.endpoint(), { peerServer.endpoint });
+  newcomer.start();
+  CHECK(waitFor([&] { return newcomer.version() == 2; }));
+}
+
+TEST_CASE("a process that is cut off from the restored store neither loses its "
+          "map nor spreads it")
+{
+  Fixture f;
+  f.startFollower();
+  const auto peerServer = startPeerServer(f.follower);
+  Standins::PlatformStore otherStore;
+  otherStore.setEra(2);
+  otherStore.put("op/config", configurationText(3));
+  Follower other(otherStore.endpoint(), { peerServer.endpoint });
+  other.start();
+  REQUIRE(waitFor([&] { return other.version() == 3; }));
+  otherStore.setAvailable(false);
+  f.putConfiguration(9);
+  std::this_thread::sleep_for(1s);
+  CHECK(other.version() == 3);
+  CHECK(f.follower.version() == 9);
+}
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -581,13 +581,15 @@
   Fixture f;
   AgentMessage probe;
   probe.kind = MessageKind::Probe;
-  for (const std::uint32_t revision : { 5, 9, 7 }) {
+  for (const Steering::MapRevision& revision :
+       { Steering::MapRevision{ 1, 12 }, { 2, 9 }, { 2, 7 } }) {
     probe.mapRevision = revision;
     Bytes bytes;
     probe.appendTo(bytes);
     f.controller.handleBalancerMessage(kBalancer, bytes, f.now);
   }
-  CHECK(f.output.toBalancers.back().message.mapRevision == 9);
+  CHECK(f.output.toBalancers.back().message.mapRevision ==
+        Steering::MapRevision{ 2, 9 });
 }
 
 TEST_CASE("load reports are sent on change, within the rate limit")
--- a/tests/auto/steering/tst_agentmessage.cpp
+++ b/tests/auto/steering/tst_agentmessage.cpp
@@ -29,6 +29,7 @@
   message.age = 250ms;
   message.latencyObjective = 300ms;
   message.timeout = 90s;
+  message.mapRevision = { 3, 0x123456789A };
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Forward);
   CHECK(parsed.wantsOwnerNotice);
@@ -38,6 +39,7 @@
   CHECK(parsed.age == 250ms);
   CHECK(parsed.latencyObjective == 300ms);
   CHECK(parsed.timeout == 65'535ms);
+  CHECK(parsed.mapRevision == Steering::MapRevision{ 3, 0x123456789A });
 }
 
 TEST_CASE("agent message: fields sent by an agent survive a round trip")
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -67,10 +67,11 @@
   }
 
   void setTargets(const std::vector<std::uint8_t>& aTargets,
-                  std::uint64_t aRevision = 1)
+                  std::uint64_t aRevision = 1,
+                  std::uint32_t aEra = 1)
   {
     Steering::FleetMapBuilder builder;
-    builder.revision(aRevision);
+    builder.revision({ aEra, aRevision });
     for (const auto number : aTargets) {
       Steering::Target target;
       target.agent = agent(number);
@@ -690,7 +691,7 @@
   Fixture f;
   AgentMessage message;
   message.kind = MessageKind::LoadReport;
-  message.mapRevision = 7;
+  message.mapRevision = { 1, 7 };
   Bytes bytes;
   message.appendTo(bytes);
   f.steerer.handleAgentMessage(Fixture::agent(1), bytes, f.now);
@@ -809,3 +810,20 @@
   CHECK(f.output.toAgents.empty());
   CHECK(f.output.toCallers.empty());
 }
+
+TEST_CASE("a map of an earlier era is outdated, whatever its change number")
+{
+  Fixture f;
+  f.setTargets({ 1, 2, 3 }, 90, 1);
+  AgentMessage message;
+  message.kind = MessageKind::LoadReport;
+  message.mapRevision = { 2, 40 };
+  Bytes bytes;
+  message.appendTo(bytes);
+  f.steerer.handleAgentMessage(Fixture::agent(1), bytes, f.now);
+  exhaustSearch(f);
+  CHECK(f.output.toCallers.empty());
+  f.setTargets({ 1, 2, 3 }, 41, 2);
+  exhaustSearch(f);
+  CHECK(f.output.toCallers.size() == 1);
+}
--- a/tests/flowsimulation/flowschedule.cpp
+++ b/tests/flowsimulation/flowschedule.cpp
@@ -117,7 +117,7 @@
 
   void performRandomAction()
   {
-    switch (mRandom() % 8) {
+    switch (mRandom() % 10) {
       case 0:
         restartBalancer();
         break;
@@ -143,6 +143,13 @@
       case 7:
         pauseMapUpdates();
         break;
+      case 8:
+        recordAction("promote a configuration");
+        mSimulation.promoteConfiguration();
+        break;
+      case 9:
+        restoreStore();
+        break;
     }
   }
 
@@ -199,6 +206,14 @@
     }
   }
 
+  void restoreStore()
+  {
+    constexpr std::uint64_t kMaxLostChanges = 6;
+    const auto lostChanges = mRandom() % (kMaxLostChanges + 1);
+    recordAction(absl::StrCat("restore the store without ", lostChanges));
+    mSimulation.restoreStore(lostChanges);
+  }
+
   void pauseMapUpdates()
   {
     const auto name = pickName(mSimulation.balancerNames());
--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -1,8 +1,11 @@
 #include "flowsimulation/flowsimulation.h"
 
-#include "steering/fleetmapbuilder.h"
+#include "platform/announcement.h"
+#include "platform/mapdecoder.h"
 
 #include <absl/strings/str_cat.h>
+#include <json/value.h>
+#include <json/writer.h>
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +22,7 @@
 constexpr std::chrono::milliseconds kCallerLatency{ 2 };
 /** Interval at which the fabric retries a packet to a suspended balancer. */
 constexpr std::chrono::milliseconds kSuspendedRetryInterval{ 20 };
+constexpr std::uint32_t kFirstEra = 1;
 constexpr std::uint16_t kAgentPort = 8172;
 constexpr std::uint16_t kBalancerPort = 7720;
 constexpr std::uint32_t kBalancerSubnet = 0x0A010000;
@@ -39,6 +43,14 @@
   return { kRouteSubnet + (aService == kServices[0] ? 1U : 2U), 443 };
 }
 
+std::string
+toText(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
 } // namespace
 
 struct FlowSimulation::BalancerOutput
@@ -93,6 +105,9 @@
   std::unique_ptr<
     Steering::FlowSteerer<Platform::DatagramFormat, BalancerOutput>>
     steerer;
+  Platform::StoreSnapshot snapshot;
+  /** Until then targets may be missing from the snapshot. */
+  Core::TimePoint completeAt{};
 };
 
 /** A backend server and its agent. */
@@ -104,6 +119,11 @@
   Core::Endpoint agent;
   Steering::TargetState state = Steering::TargetState::Accepting;
   bool isAnnounced = true;
+  /** Increases with each target; serves as the time of its start. */
+  std::size_t number = 0;
+  /** The announcement in the store; empty if there is none. */
+  std::string announced;
+  Core::TimePoint drainingSince{};
   std::unique_ptr<AgentOutput> output;
   /** Null while the agent does not run. */
   std::unique_ptr<
@@ -134,6 +154,8 @@
       BalancerOutput{ *this, balancer->name, balancer->zone });
     mBalancers[balancer->name] = std::move(balancer);
   }
+  writeConfiguration();
+  publishMap();
   for (const auto& name : balancerNames()) {
     startBalancer(name);
   }
@@ -150,6 +172,7 @@
   node->service = aService;
   node->zone = (mTargetNodes.size() / 2) % kZoneCount;
   node->agent = aAgent;
+  node->number = mTargetNodes.size() + 1;
   node->output = std::make_unique<AgentOutput>(
     AgentOutput{ *this, name, node->zone, aAgent });
   node->target = std::make_unique<FakeTarget>(
@@ -196,6 +219,8 @@
     Steering::BalancerConfig{ absl::StrCat("z", balancer.zone),
                               kRetransmissionSchedule },
     mEvents);
+  balancer.snapshot = {};
+  mLastUnevenAt = mNow;
   if (aHasMap) {
     sendMap(balancer);
   }
@@ -267,6 +292,7 @@
 FlowSimulation::resumeMapUpdates(const std::string& aBalancer)
 {
   mMapUpdatesPaused.erase(aBalancer);
+  mLastUnevenAt = mNow;
   auto& balancer = *mBalancers.at(aBalancer);
   if (balancer.steerer != nullptr) {
     sendMap(balancer);
@@ -285,41 +311,67 @@
   return mTargetNodes.at(aTarget)->target != nullptr;
 }
 
-Steering::FleetMapPointer
-FlowSimulation::buildMap(const Steering::FleetMapPointer& aPrevious)
+void
+FlowSimulation::writeConfiguration()
+{
+  Json::Value root;
+  root["version"] = Json::Value::UInt64(mConfigurationVersion);
+  for (const auto* name : kServices) {
+    Json::Value service;
+    service["name"] = name;
+    root["services"].append(service);
+    const auto address = routeAddress(name);
+    Json::Value route;
+    route["name"] = name;
+    route["host"] = Core::formatAddress(address.address);
+    route["prefix"] = absl::StrCat("/", address.port, "/");
+    route["type"] = "idempotent";
+    route["aimMs"] = 300;
+    route["timeoutMs"] = 4'000;
+    route["service"] = name;
+    root["routes"].append(route);
+  }
+  mStore.put(Platform::kConfigurationKey, toText(root));
+}
+
+void
+FlowSimulation::announce(TargetNode& aNode)
 {
-  Steering::FleetMapBuilder builder;
-  builder.version(1).revision(mRevision);
-  for (const auto* service : kServices) {
-    Steering::RouteDeclaration declaration;
-    declaration.address = routeAddress(service);
-    declaration.shares.push_back({ service, 1 });
-    declaration.route.flowType = Steering::FlowType::ManyRequests;
-    declaration.route.latencyObjective = 300ms;
-    declaration.route.timeout = 4'000ms;
-    builder.route(std::move(declaration));
-  }
-  for (const auto& [name, node] : mTargetNodes) {
-    if (node->isAnnounced) {
-      Steering::Target target;
-      target.agent = node->agent;
-      target.name = name;
-      target.zone = absl::StrCat("z", node->zone);
-      target.slots = mSettings.slots;
-      target.state = node->state;
-      builder.target(node->service, std::move(target));
-    }
-  }
-  if (aPrevious != nullptr) {
-    builder.keepRemovedTargets(*aPrevious, mNow);
+  const auto key = absl::StrCat(Platform::kServersPrefix, aNode.name);
+  if (!aNode.isAnnounced) {
+    mStore.erase(key);
+    aNode.announced.clear();
+    return;
   }
-  return builder.build();
+  Json::Value server;
+  server["service"] = aNode.service;
+  server["address"] =
+    absl::StrCat(Core::formatAddress(aNode.agent.address), ":8080");
+  server["zone"] = absl::StrCat("z", aNode.zone);
+  server["maxConcurrency"] = mSettings.slots;
+  server["state"] =
+    aNode.state == Steering::TargetState::Draining ? "draining" : "ready";
+  server["born"] = Json::Value::UInt64(aNode.number);
+  aNode.announced = toText(server);
+  mStore.put(key, aNode.announced);
 }
 
 void
 FlowSimulation::publishMap()
 {
-  ++mRevision;
+  for (auto& [name, node] : mTargetNodes) {
+    const bool isNew = node->isAnnounced && node->announced.empty();
+    const bool isGone = !node->isAnnounced && !node->announced.empty();
+    const bool isNewlyDraining =
+      node->state == Steering::TargetState::Draining &&
+      node->drainingSince == Core::TimePoint{};
+    if (isNewlyDraining) {
+      node->drainingSince = mNow;
+    }
+    if (isNew || isGone || (isNewlyDraining && node->isAnnounced)) {
+      announce(*node);
+    }
+  }
   for (auto& [name, balancer] : mBalancers) {
     if (balancer->steerer != nullptr && !mMapUpdatesPaused.contains(name)) {
       sendMap(*balancer);
@@ -327,11 +379,113 @@
   }
 }
 
+void
+FlowSimulation::promoteConfiguration()
+{
+  ++mConfigurationVersion;
+  writeConfiguration();
+  publishMap();
+}
+
+void
+FlowSimulation::restoreStore(std::size_t aLostChanges)
+{
+  constexpr std::int64_t kMaxRewriteDelayMs = 2'000;
+  mStore.restore(aLostChanges);
+  publishMap();
+  std::uniform_int_distribution<std::int64_t> delay(0, kMaxRewriteDelayMs);
+  const auto scheduleRewrite = [&](std::function<void()> aRewrite) {
+    mDeliveries.push({ mNow + std::chrono::milliseconds(delay(mRandom)),
+                       ++mDeliveryNumber,
+                       [this, aRewrite = std::move(aRewrite)] {
+                         aRewrite();
+                         publishMap();
+                       } });
+  };
+  scheduleRewrite([this] { writeConfiguration(); });
+  for (auto& [name, node] : mTargetNodes) {
+    scheduleRewrite([this, to = node.get()] { announce(*to); });
+  }
+}
+
 void
 FlowSimulation::sendMap(Balancer& aBalancer)
 {
-  aBalancer.steerer->setMap(buildMap(aBalancer.steerer->map()), mNow);
-  aBalancer.steerer->setPlatformReachable(true);
+  auto& snapshot = aBalancer.snapshot;
+  const auto revision = mStore.revision();
+  if (snapshot.revision().era == revision.era) {
+    snapshot.apply(
+      mStore.changesAfter(snapshot.revision().change), revision, mNow);
+  } else {
+    snapshot.replace(mStore.items(), revision, mNow);
+    mergeFromPeers(aBalancer);
+    if (revision.era > kFirstEra) {
+      aBalancer.completeAt = mNow + Platform::StoreSnapshot::kReannounceTime;
+    }
+  }
+  setMap(aBalancer);
+}
+
+void
+FlowSimulation::setMap(Balancer& aBalancer)
+{
+  const auto decoded = Platform::decodeMap(
+    aBalancer.snapshot, kAgentPort, aBalancer.steerer->map(), mNow);
+  for (const auto& error : decoded.errors) {
+    mViolations.push_back(absl::StrCat("unreadable entry: ", error));
+  }
+  const auto usesNewestVersion = [this](const auto& aEntry) {
+    const auto& steerer = aEntry.second->steerer;
+    return steerer != nullptr && steerer->map() != nullptr &&
+           steerer->map()->version() == mConfigurationVersion;
+  };
+  if (decoded.map->version() < mConfigurationVersion &&
+      !mMapUpdatesPaused.contains(aBalancer.name) &&
+      std::any_of(mBalancers.begin(), mBalancers.end(), usesNewestVersion)) {
+    mViolations.push_back(
+      absl::StrCat(aBalancer.name, " uses an old configuration"));
+  }
+  aBalancer.steerer->setMap(decoded.map, mNow);
+}
+
+void
+FlowSimulation::mergeFromPeers(Balancer& aBalancer)
+{
+  auto& snapshot = aBalancer.snapshot;
+  for (const auto& [name, peer] : mBalancers) {
+    const auto& known = peer->snapshot;
+    const bool mayKnowMore = known.revision() > snapshot.revision() ||
+                             known.revision().era < snapshot.revision().era ||
+                             known.isReconciling(mNow);
+    if (peer.get() == &aBalancer || peer->steerer == nullptr || !mayKnowMore) {
+      continue;
+    }
+    std::vector<Platform::StoreItem> items;
+    for (const auto& [key, item] : known.items()) {
+      items.push_back(item);
+    }
+    if (known.revision() > snapshot.revision()) {
+      snapshot.replace(items, known.revision(), mNow);
+      snapshot.addRemoved(known.removedItems(), mNow);
+    } else {
+      snapshot.mergeKnown(items, known.removedItems(), known.revision(), mNow);
+    }
+  }
+}
+
+void
+FlowSimulation::expireKeptEntries()
+{
+  for (auto& [name, balancer] : mBalancers) {
+    const auto nextExpiry = balancer->snapshot.nextExpiry();
+    if (balancer->steerer == nullptr) {
+      continue;
+    }
+    if (nextExpiry && *nextExpiry <= mNow && balancer->snapshot.expire(mNow)) {
+      setMap(*balancer);
+    }
+    balancer->steerer->setPlatformReachable(mNow >= balancer->completeAt);
+  }
 }
 
 FlowCaller&
@@ -391,6 +545,7 @@
       balancer->steerer->tick(mNow);
     }
   }
+  expireKeptEntries();
 }
 
 void
@@ -489,11 +644,29 @@
     mViolations.push_back(
       absl::StrCat("packet of another service delivered to ", aTarget));
   }
+  checkDrain(node, aPacket);
   for (const auto& packet : node.target->handlePacket(aPacket, mNow)) {
     transmitFromTarget(aTarget, packet);
   }
 }
 
+/** A draining target gets no new flow once every balancer can know of it. */
+void
+FlowSimulation::checkDrain(const TargetNode& aNode, const Bytes& aPacket)
+{
+  constexpr std::chrono::milliseconds kDrainLimit{ 3'000 };
+  const bool isLate = aNode.drainingSince != Core::TimePoint{} &&
+                      mNow - aNode.drainingSince > kDrainLimit;
+  const bool isEven = mSuspended.empty() && mMapUpdatesPaused.empty() &&
+                      mNow - mLastUnevenAt > kDrainLimit;
+  const auto packet = Platform::Datagram::parse(aPacket);
+  if (isLate && isEven && packet->isSyn() &&
+      packet->retransmissionCount() == 0) {
+    mViolations.push_back(
+      absl::StrCat("new flow for the draining target ", aNode.name));
+  }
+}
+
 void
 FlowSimulation::transmitFromTarget(const std::string& aTarget,
                                    const Bytes& aPacket)
@@ -533,6 +706,13 @@
                     } });
 }
 
+std::chrono::milliseconds
+FlowSimulation::sinceStart() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(mNow -
+                                                               kStartTime);
+}
+
 /**
  * Checks a packet from a balancer to a caller, which is always a reset: a
  * balancer must not reset an open flow that a target owns.
@@ -546,7 +726,8 @@
   for (const auto& [name, node] : mTargetNodes) {
     if (node->target != nullptr && node->target->ownsFlow(aCaller.flow())) {
       mViolations.push_back(
-        absl::StrCat("balancer reset a flow that ",
+        absl::StrCat(sinceStart().count(),
+                     " ms: balancer reset a flow that ",
                      name,
                      " owns: ",
                      Packet::formatFlowKey(aCaller.flow())));
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -3,6 +3,8 @@
 #include "flowsimulation/faketarget.h"
 #include "flowsimulation/flowcaller.h"
 
+#include "standins/storelog.h"
+
 #include "platform/datagramformat.h"
 #include "steering/admissioncontroller.h"
 #include "steering/flowsteerer.h"
@@ -77,13 +79,24 @@
    * retries them.
    */
   void suspend(const std::string& aName) { mSuspended.insert(aName); }
-  void resume(const std::string& aName) { mSuspended.erase(aName); }
+  void resume(const std::string& aName)
+  {
+    mSuspended.erase(aName);
+    mLastUnevenAt = mNow;
+  }
   /** The balancer keeps its current fleet map until updates are resumed. */
   void pauseMapUpdates(const std::string& aBalancer)
   {
     mMapUpdatesPaused.insert(aBalancer);
   }
   void resumeMapUpdates(const std::string& aBalancer);
+  /**
+   * Restores the store from a copy that lacks the last changes. Living targets
+   * and the operator write theirs again within two seconds.
+   */
+  void restoreStore(std::size_t aLostChanges);
+  /** Publishes a new version of the configuration. */
+  void promoteConfiguration();
   /** Ends a target and its agent; a new target of aService gets the address. */
   void reuseAddress(const std::string& aTarget, const std::string& aService);
 
@@ -134,11 +147,20 @@
   void transmitToCaller(std::size_t aFromZone,
                         const Bytes& aPacket,
                         bool aIsFromBalancer);
+  std::chrono::milliseconds sinceStart() const;
   void checkBalancerReset(const FlowCaller& aCaller);
+  /** Writes what has changed about a target to the store. */
+  void announce(TargetNode& aNode);
+  void writeConfiguration();
   void publishMap();
-  Steering::FleetMapPointer buildMap(
-    const Steering::FleetMapPointer& aPrevious);
+  /** Lets the balancer follow the store. */
   void sendMap(Balancer& aBalancer);
+  /** Decodes the balancer's snapshot. */
+  void setMap(Balancer& aBalancer);
+  /** Learns from the other balancers what a restored store may lack. */
+  void mergeFromPeers(Balancer& aBalancer);
+  void expireKeptEntries();
+  void checkDrain(const TargetNode& aNode, const Bytes& aPacket);
   std::string createTarget(const std::string& aService, Core::Endpoint aAgent);
 
   FlowSimulationSettings mSettings;
@@ -147,7 +169,10 @@
   Telemetry::HistogramSet mHistograms;
   Core::TimePoint mNow;
   std::uint64_t mDeliveryNumber = 0;
-  std::uint64_t mRevision = 1;
+  Standins::StoreLog mStore;
+  std::uint64_t mConfigurationVersion = 1;
+  /** When a process last ran with an old map, or not at all. */
+  Core::TimePoint mLastUnevenAt{};
   std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>>
     mDeliveries;
   std::map<std::string, std::unique_ptr<Balancer>> mBalancers;
