Platform: Let a few balancers of each zone read the store

Ruled out: an exchange by polling (each process would need a list of the others anyway, and a poll a second is slower than a notice); agents as messengers (they know all balancers, but only while there is traffic).

Change: src/libs/membership. Balancers exchange datagrams (400 ms; at most 422 bytes) with their newest revision, how recently the store confirmed it, and some other members. The first of a zone by a rank that all compute alike watch the store (three in all at least), the others get notices and fetch the changes. Who is not confirmed for 1.2 s calls the store itself, first those of lower rank. After a sleep nothing counts as confirmed.

Tests: tst_membership simulates up to 300 processes: 5 readers of 300, 12 datagrams a second and process at 300 (11 at 30), changes in use within 1.5 s while a zone's readers are killed, suspended, or cut off from the store or the others; tst_storewatch with 8 real readers: 3 of them call the store.

--- /dev/null
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -0,0 +1,372 @@
+#include "mapdistribution.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace MembershipTesting {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Membership::Address;
+using Membership::MapStep;
+
+constexpr Address kFirstAddress = 0x0A000001;
+constexpr std::chrono::milliseconds kInZoneDelay{ 1 };
+constexpr std::chrono::milliseconds kCrossZoneDelay{ 5 };
+constexpr std::chrono::milliseconds kStoreDelay{ 4 };
+constexpr std::chrono::milliseconds kWatchWaitTime{ 20'000 };
+/** Time in which keep-alive probes detect a silent connection. */
+constexpr std::chrono::milliseconds kKeepAliveTime{ 3'000 };
+constexpr std::chrono::milliseconds kFetchTimeout{ 150 };
+constexpr std::chrono::milliseconds kShortWaitTime{ 100 };
+constexpr std::chrono::milliseconds kRetryDelay{ 300 };
+constexpr std::chrono::milliseconds kStartSpread{ 300 };
+constexpr std::size_t kSeedCount = 3;
+
+Address
+addressOf(std::size_t aProcess)
+{
+  return kFirstAddress + static_cast<Address>(aProcess);
+}
+
+std::size_t
+processAt(Address aAddress)
+{
+  return aAddress - kFirstAddress;
+}
+
+} // namespace
+
+struct MapDistribution::Process
+{
+  std::unique_ptr<Membership::MapFollowing> following;
+  /** Distinguishes the starts of a process. */
+  std::uint64_t incarnation = 0;
+  std::uint64_t knownChange = 0;
+  bool isSuspended = false;
+  bool isCutFromStore = false;
+  bool isCutFromPeers = false;
+  bool isCallingStore = false;
+  std::uint64_t storeCall = 0;
+  /** What arrived while it was suspended. */
+  std::vector<std::function<void(Process&)>> pending;
+};
+
+MapDistribution::MapDistribution(const Settings& aSettings)
+  : mSettings(aSettings)
+  , mRandom(aSettings.seed)
+{
+  for (std::size_t i = 0; i < aSettings.processCount; ++i) {
+    mProcesses.push_back(std::make_unique<Process>());
+    const auto delay =
+      std::chrono::milliseconds(mRandom() % kStartSpread.count());
+    schedule(delay, [this, i] { start(i); });
+  }
+}
+
+MapDistribution::~MapDistribution() = default;
+
+void
+MapDistribution::advance(std::chrono::milliseconds aDuration)
+{
+  const auto end = mNow + aDuration;
+  while (!mEvents.empty() && mEvents.top().at <= end) {
+    mNow = mEvents.top().at;
+    const auto action = mEvents.top().action;
+    mEvents.pop();
+    action();
+  }
+  mNow = end;
+}
+
+std::uint64_t
+MapDistribution::change()
+{
+  ++mChange;
+  for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+    if (mProcesses[i]->isCallingStore && !mProcesses[i]->isCutFromStore) {
+      const auto call = mProcesses[i]->storeCall;
+      scheduleAt(i, kStoreDelay, [this, i, call](Process& aProcess) {
+        if (aProcess.storeCall == call) {
+          endStoreCall(i, true);
+        }
+      });
+    }
+  }
+  return mChange;
+}
+
+std::size_t
+MapDistribution::processCount() const
+{
+  return mProcesses.size();
+}
+
+std::vector<std::size_t>
+MapDistribution::storeCallers() const
+{
+  std::vector<std::size_t> callers;
+  for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+    if (mProcesses[i]->following != nullptr && mProcesses[i]->isCallingStore) {
+      callers.push_back(i);
+    }
+  }
+  return callers;
+}
+
+std::uint64_t
+MapDistribution::knownChange(std::size_t aProcess) const
+{
+  return mProcesses[aProcess]->knownChange;
+}
+
+std::vector<std::size_t>
+MapDistribution::outdated() const
+{
+  std::vector<std::size_t> processes;
+  for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+    const auto& process = *mProcesses[i];
+    if (process.following != nullptr && !process.isSuspended &&
+        process.knownChange < mChange) {
+      processes.push_back(i);
+    }
+  }
+  return processes;
+}
+
+std::size_t
+MapDistribution::zoneOf(std::size_t aProcess) const
+{
+  return aProcess % mSettings.zoneCount;
+}
+
+void
+MapDistribution::kill(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  process.following.reset();
+  process.pending.clear();
+  process.isCallingStore = false;
+  ++process.incarnation;
+}
+
+void
+MapDistribution::start(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  ++process.incarnation;
+  process.isSuspended = false;
+  process.knownChange = 0;
+  Membership::MemberTable table(addressOf(aProcess),
+                                static_cast<std::uint32_t>(zoneOf(aProcess)),
+                                mRandom());
+  std::vector<Address> seeds;
+  for (std::size_t i = 0; i < std::min(kSeedCount, mProcesses.size()); ++i) {
+    seeds.push_back(addressOf(i));
+  }
+  table.setSeeds(seeds);
+  process.following =
+    std::make_unique<Membership::MapFollowing>(std::move(table), mNow);
+  tick(aProcess);
+  callStore(aProcess);
+}
+
+void
+MapDistribution::suspend(std::size_t aProcess)
+{
+  mProcesses[aProcess]->isSuspended = true;
+}
+
+void
+MapDistribution::resume(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  process.isSuspended = false;
+  for (const auto& action : std::exchange(process.pending, {})) {
+    action(process);
+  }
+}
+
+void
+MapDistribution::cutFromStore(std::size_t aProcess, bool aIsCut)
+{
+  auto& process = *mProcesses[aProcess];
+  process.isCutFromStore = aIsCut;
+  if (aIsCut && process.isCallingStore) {
+    const auto call = process.storeCall;
+    scheduleAt(
+      aProcess, kKeepAliveTime, [this, aProcess, call](Process& aTarget) {
+        if (aTarget.storeCall == call) {
+          endStoreCall(aProcess, false);
+        }
+      });
+  }
+}
+
+void
+MapDistribution::cutFromPeers(std::size_t aProcess, bool aIsCut)
+{
+  mProcesses[aProcess]->isCutFromPeers = aIsCut;
+}
+
+void
+MapDistribution::schedule(std::chrono::milliseconds aDelay,
+                          std::function<void()> aAction)
+{
+  mEvents.push({ mNow + aDelay, ++mEventNumber, std::move(aAction) });
+}
+
+void
+MapDistribution::scheduleAt(std::size_t aProcess,
+                            std::chrono::milliseconds aDelay,
+                            std::function<void(Process&)> aAction)
+{
+  const auto incarnation = mProcesses[aProcess]->incarnation;
+  schedule(aDelay, [this, aProcess, incarnation, aAction] {
+    auto& process = *mProcesses[aProcess];
+    if (process.incarnation != incarnation || process.following == nullptr) {
+      return;
+    }
+    if (process.isSuspended) {
+      process.pending.push_back(aAction);
+    } else {
+      aAction(process);
+    }
+  });
+}
+
+void
+MapDistribution::send(std::size_t aFrom,
+                      const std::vector<Membership::OutgoingMessage>& aMessages)
+{
+  for (const auto& outgoing : aMessages) {
+    std::vector<std::uint8_t> bytes;
+    outgoing.message.appendTo(bytes);
+    ++mDatagramCount;
+    mDatagramBytes += bytes.size();
+    const auto to = processAt(outgoing.to);
+    const bool isLost =
+      std::uniform_real_distribution<>(0, 1)(mRandom) < mSettings.loss;
+    if (isLost || mProcesses[aFrom]->isCutFromPeers ||
+        mProcesses[to]->isCutFromPeers) {
+      continue;
+    }
+    scheduleAt(
+      to, delayBetween(aFrom, to), [this, aFrom, to, bytes](Process& aProcess) {
+        const auto message = Membership::MemberMessage::parse(bytes);
+        send(
+          to,
+          aProcess.following->handleMessage(addressOf(aFrom), *message, mNow));
+        runStep(to);
+      });
+  }
+}
+
+void
+MapDistribution::tick(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  send(aProcess, process.following->tick(mNow));
+  runStep(aProcess);
+  scheduleAt(aProcess,
+             Membership::MapFollowing::kInterval,
+             [this, aProcess](Process& /*aProcess*/) { tick(aProcess); });
+}
+
+void
+MapDistribution::runStep(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  if (process.isCallingStore) {
+    if (!process.following->shouldEndStoreCall(mNow)) {
+      return;
+    }
+    process.isCallingStore = false;
+    process.following->cancelStoreCall();
+  }
+  const auto next = process.following->nextStep(mNow);
+  if (next.step == MapStep::CallStore && process.knownChange != 0) {
+    callStore(aProcess);
+  } else if (next.step == MapStep::FetchFromPeer) {
+    fetch(aProcess, processAt(next.peer));
+  }
+}
+
+/** Like a watch: ends when there is something new, or after a time. */
+void
+MapDistribution::callStore(std::size_t aProcess)
+{
+  auto& process = *mProcesses[aProcess];
+  ++mStoreCallCount;
+  process.isCallingStore = true;
+  const auto call = ++process.storeCall;
+  process.following->beginStoreCall();
+  const bool isBehind = process.knownChange < mChange;
+  auto duration = isBehind ? kStoreDelay : kWatchWaitTime;
+  if (process.following->needsStoreAnswer()) {
+    duration = kShortWaitTime;
+  }
+  if (process.isCutFromStore) {
+    duration = kFetchTimeout;
+  }
+  scheduleAt(aProcess, duration, [this, aProcess, call](Process& aTarget) {
+    if (aTarget.isCallingStore && aTarget.storeCall == call) {
+      endStoreCall(aProcess, !aTarget.isCutFromStore);
+    }
+  });
+}
+
+void
+MapDistribution::endStoreCall(std::size_t aProcess, bool aIsAnswered)
+{
+  auto& process = *mProcesses[aProcess];
+  process.isCallingStore = false;
+  process.following->endStoreCall(aIsAnswered, mNow);
+  if (aIsAnswered) {
+    learn(aProcess, mChange);
+    runStep(aProcess);
+  } else {
+    scheduleAt(aProcess, kRetryDelay, [this, aProcess](Process& aTarget) {
+      if (!aTarget.isCallingStore) {
+        aTarget.knownChange == 0 ? callStore(aProcess) : runStep(aProcess);
+      }
+    });
+  }
+}
+
+void
+MapDistribution::fetch(std::size_t aProcess, std::size_t aPeer)
+{
+  const auto& peer = *mProcesses[aPeer];
+  const bool isAnswered = peer.following != nullptr && !peer.isSuspended &&
+                          !peer.isCutFromPeers &&
+                          !mProcesses[aProcess]->isCutFromPeers;
+  mProcesses[aProcess]->following->endFetch(addressOf(aPeer), isAnswered);
+  if (!isAnswered) {
+    return;
+  }
+  const auto delay = 4 * delayBetween(aProcess, aPeer);
+  scheduleAt(aProcess,
+             delay,
+             [this, aProcess, known = peer.knownChange](Process& /*aTarget*/) {
+               learn(aProcess, known);
+             });
+}
+
+void
+MapDistribution::learn(std::size_t aProcess, std::uint64_t aChange)
+{
+  auto& process = *mProcesses[aProcess];
+  process.knownChange = std::max(process.knownChange, aChange);
+  send(aProcess,
+       process.following->setRevision({ 1, process.knownChange }, mNow));
+}
+
+std::chrono::milliseconds
+MapDistribution::delayBetween(std::size_t aFrom, std::size_t aTo) const
+{
+  return zoneOf(aFrom) == zoneOf(aTo) ? kInZoneDelay : kCrossZoneDelay;
+}
+
+} // namespace MembershipTesting
