Steering: Reset flows of lost targets without waiting for the caller

Besides, a search that ended a moment too early (targets still being announced) was repeated only with the caller's next retransmission, which may take 1.6 s.

Change: a target that was not announced for 2.5 s and does not reply is gone and no longer keeps a flow from its reset; one that replies still does. A search that could not be concluded is repeated after 800 ms, or with the next packet.

The two new cases of tst_steering fail without the change.

--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -52,7 +52,17 @@
    */
   static constexpr std::chrono::milliseconds kRemovalGracePeriod{ 2'000 };
 
+  /**
+   * A target that is not announced again within this time is gone if it does
+   * not reply either. Living targets are announced again within two seconds.
+   */
+  static constexpr std::chrono::milliseconds kGoneTime{ 2'500 };
+
   bool isRemoved() const { return removedAt != Core::TimePoint{}; }
+  bool isGone(Core::TimePoint aNow) const
+  {
+    return isRemoved() && aNow - removedAt >= kGoneTime;
+  }
   bool acceptsNewFlows(Core::TimePoint aNow) const
   {
     return state == TargetState::Accepting &&
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -81,6 +81,9 @@
       !mContext.map->serves(aRoute, cachedFlow->agent);
     if (auto* search = mSearches.find(aFlow); search != nullptr) {
       PendingSearches::bufferPacket(*search, aPacket.bytes());
+      if (search->isExhausted()) {
+        restartSearch(aFlow, aRoute, *search, aNow);
+      }
     } else if (!needsSearch) {
       mContext.forward(aPacket, aRoute, *cachedFlow);
     } else {
@@ -184,6 +187,12 @@
   void tick(Core::TimePoint aNow)
   {
     mSearches.expire(aNow);
+    for (const auto& flow :
+         mSearches.exhaustedFlows(kSecondSearchDelay, aNow)) {
+      updateSearch(flow, [&](const auto& aRoute, auto& /*aCachedFlow*/) {
+        restartSearch(flow, aRoute, *mSearches.find(flow), aNow);
+      });
+    }
     queryForOldestSearch(aNow);
     for (const auto& flow : mSearches.unforwardedFlows(kForwardDelay, aNow)) {
       updateSearch(flow, [&](const auto& aRoute, auto& aCachedFlow) {
@@ -256,6 +265,20 @@
     queryMoreAgents(aFlow, aRoute, *search, aNow);
   }
 
+  /**
+   * Searches again: the flow's next packet has arrived, or what is known of the
+   * targets may be complete now. Callers retransmit at ever longer intervals,
+   * so that waiting for their next packet would take seconds.
+   */
+  void restartSearch(const Packet::FlowKey& aFlow,
+                     const Route& aRoute,
+                     PendingSearch& aSearch,
+                     Core::TimePoint aNow)
+  {
+    aSearch.restart();
+    queryMoreAgents(aFlow, aRoute, aSearch, aNow);
+  }
+
   /**
    * Queries the next agents in search order for the owner. Each round more than
    * doubles the number of queried agents.
@@ -337,10 +360,14 @@
     const Target* next = nullptr;
     for (const auto* target : order) {
       const auto& agent = target->agent;
+      const bool isSuspected = mContext.loads.isSuspected(agent, aNow);
+      // A target that is no longer announced and does not reply is gone, and
+      // its flows with it.
+      const bool isGone = target->isGone(aNow) && isSuspected;
       haveAllRejected =
-        haveAllRejected && aCachedFlow.rejectedBy.contains(agent);
-      const bool isExcluded = aCachedFlow.excludedAgents.contains(agent) ||
-                              mContext.loads.isSuspected(agent, aNow);
+        haveAllRejected && (aCachedFlow.rejectedBy.contains(agent) || isGone);
+      const bool isExcluded =
+        aCachedFlow.excludedAgents.contains(agent) || isSuspected;
       // An agent with its full history would have replied to the query that it
       // owns the flow.
       const bool isPreferred = next == nullptr || (mayOwnUnknownFlow(*target) &&
@@ -377,7 +404,6 @@
                           bool aHaveAllRejected,
                           Core::TimePoint aNow)
   {
-    mSearches.take(aFlow);
     aCachedFlow.excludedAgents.clear();
     aCachedFlow.rejectedBy.clear();
     if (aCachedFlow.firstExhaustedAt == Core::TimePoint{}) {
@@ -389,6 +415,9 @@
     if (mContext.isMapCurrent() && aHaveAllRejected && isSettled) {
       mContext.resetUnknownFlow(aPacket, "no target owns the flow");
       mContext.flowCache.erase(aFlow);
+      mSearches.take(aFlow);
+    } else if (auto* search = mSearches.find(aFlow); search != nullptr) {
+      search->exhaustedAt = aNow;
     }
   }
 
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -63,7 +63,8 @@
   std::optional<Packet::FlowKey> oldest;
   auto earliest = aNow - aInterval;
   for (const auto& [flow, search] : mSearches) {
-    if (!search.areAllQueried && search.lastQueryAt <= earliest) {
+    if (!search.areAllQueried && !search.isExhausted() &&
+        search.lastQueryAt <= earliest) {
       oldest = flow;
       earliest = search.lastQueryAt;
     }
@@ -76,7 +77,7 @@
                                   Core::TimePoint aNow) const
 {
   return collect([&](const PendingSearch& aSearch) {
-    return aSearch.forwardedAt == Core::TimePoint{} &&
+    return !aSearch.isExhausted() && aSearch.forwardedAt == Core::TimePoint{} &&
            aNow - aSearch.startedAt >= aDelay;
   });
 }
@@ -86,11 +87,20 @@
                                  Core::TimePoint aNow) const
 {
   return collect([&](const PendingSearch& aSearch) {
-    return aSearch.forwardedAt != Core::TimePoint{} &&
+    return !aSearch.isExhausted() && aSearch.forwardedAt != Core::TimePoint{} &&
            aNow - aSearch.forwardedAt >= aTimeout;
   });
 }
 
+std::vector<Packet::FlowKey>
+PendingSearches::exhaustedFlows(std::chrono::milliseconds aDelay,
+                                Core::TimePoint aNow) const
+{
+  return collect([&](const PendingSearch& aSearch) {
+    return aSearch.isExhausted() && aNow - aSearch.exhaustedAt >= aDelay;
+  });
+}
+
 void
 PendingSearches::expire(Core::TimePoint aNow)
 {
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -28,6 +28,21 @@
   std::size_t queriedCount = 0;
   Core::TimePoint lastQueryAt{};
   bool areAllQueried = false;
+  /**
+   * When no agent was left to try and the flow could not be reset; null while
+   * the search goes on.
+   */
+  Core::TimePoint exhaustedAt{};
+
+  bool isExhausted() const { return exhaustedAt != Core::TimePoint{}; }
+  /** Starts again with the same packets. */
+  void restart()
+  {
+    forwardedAt = {};
+    queriedCount = 0;
+    areAllQueried = false;
+    exhaustedAt = {};
+  }
   std::vector<std::vector<std::uint8_t>> packets;
 };
 
@@ -82,6 +97,9 @@
   std::vector<Packet::FlowKey> unansweredFlows(
     std::chrono::milliseconds aTimeout,
     Core::TimePoint aNow) const;
+  /** Flows whose search was exhausted at least aDelay ago. */
+  std::vector<Packet::FlowKey> exhaustedFlows(std::chrono::milliseconds aDelay,
+                                              Core::TimePoint aNow) const;
   /** Removes searches that take longer than kMaxDuration. */
   void expire(Core::TimePoint aNow);
 
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -79,13 +79,18 @@
       target.slots = 4;
       builder.target("red", target);
     }
+    builder.route(routeDeclaration());
+    steerer.setMap(builder.build(), now);
+  }
+
+  static Steering::RouteDeclaration routeDeclaration()
+  {
     Steering::RouteDeclaration route;
     route.address = Test::kRouteAddress;
     route.shares.push_back({ "red", 1 });
     route.route.timeout = 2'000ms;
     route.route.latencyObjective = 300ms;
-    builder.route(route);
-    steerer.setMap(builder.build(), now);
+    return route;
   }
 
   static Core::Endpoint agent(std::uint8_t aNumber)
@@ -126,6 +131,21 @@
       return aSent.message.kind == MessageKind::OwnerQuery;
     });
   }
+  /** The platform no longer announces the target. */
+  void removeTarget(std::uint8_t aTarget)
+  {
+    const auto previousMap = steerer.map();
+    Steering::FleetMapBuilder builder;
+    builder.revision({ 1, 2 });
+    builder.route(routeDeclaration());
+    for (const auto& target : previousMap->services().front().targets) {
+      if (target.agent != agent(aTarget)) {
+        builder.target("red", target);
+      }
+    }
+    builder.keepRemovedTargets(*previousMap, now);
+    steerer.setMap(builder.build(), now);
+  }
   void rejectPacket(const Core::Endpoint& aFrom,
                     RejectReason aReason,
                     const Bytes& aPacket,
@@ -716,6 +736,76 @@
   CHECK(f.output.toCallers.size() == 1);
 }
 
+TEST_CASE("a search that found no owner too early is repeated without further "
+          "packets")
+{
+  Fixture f;
+  f.setTargets({ 1, 2, 4 });
+  exhaustSearch(f);
+  REQUIRE(f.output.toCallers.empty());
+  f.output.toAgents.clear();
+  f.now += Search::kSecondSearchDelay;
+  f.steerer.tick(f.now);
+  f.now += Search::kForwardDelay;
+  f.steerer.tick(f.now);
+  std::erase_if(f.output.toAgents, [](const auto& aSent) {
+    return aSent.message.kind != MessageKind::Forward;
+  });
+  REQUIRE_FALSE(f.output.toAgents.empty());
+  for (int i = 0; i < 3; ++i) {
+    f.rejectPacket(f.lastForwardedTo(),
+                   RejectReason::UnknownFlow,
+                   f.output.toAgents.back().body);
+  }
+  CHECK(f.output.toCallers.size() == 1);
+}
+
+namespace {
+
+/** Lets all agents but one reject the flow of caller 1. */
+void
+searchWithoutReplyOf(Fixture& aFixture, const Core::Endpoint& aSilentAgent)
+{
+  aFixture.searchByForwarding(1);
+  for (int i = 0; i < 3; ++i) {
+    if (aFixture.lastForwardedTo() == aSilentAgent) {
+      aFixture.now += Steering::AgentLoadTable::kReplyTimeout + 1ms;
+      aFixture.steerer.tick(aFixture.now);
+    } else {
+      aFixture.rejectPacket(aFixture.lastForwardedTo(),
+                            RejectReason::UnknownFlow,
+                            aFixture.output.toAgents.back().body);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("a target that is no longer announced and does not reply is gone")
+{
+  Fixture f;
+  const auto gone = Fixture::agent(3);
+  f.removeTarget(3);
+  SUBCASE("but not before living targets are announced again")
+  {
+    f.now += 1s;
+    searchWithoutReplyOf(f, gone);
+    CHECK(f.output.toCallers.empty());
+  }
+  SUBCASE("when that time has passed")
+  {
+    f.now += Steering::Target::kGoneTime;
+    searchWithoutReplyOf(f, gone);
+    CHECK(f.output.toCallers.size() == 1);
+  }
+  SUBCASE("unless it replies")
+  {
+    f.now += Steering::Target::kGoneTime;
+    searchWithoutReplyOf(f, Fixture::agent(2));
+    CHECK(f.output.toCallers.empty());
+  }
+}
+
 TEST_CASE("a flow is not reset while a target does not reply")
 {
   Fixture f;
