--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -304,3 +304,21 @@
       [&] { return other->fleetMap.current()->acceptingCount() == 1; }));
   }
 }
+
+TEST_CASE(
+  "a process that starts with an outdated answer of the store gets only "
+  "the changes from a peer and keeps the rest")
+{
+  Fixture f;
+  f.startFollower();
+  Standins::PlatformStore outdatedStore;
+  outdatedStore.put("op/config", configurationText(1));
+  outdatedStore.put("servers/a", announcementText("10.0.0.1"));
+  outdatedStore.put("servers/b", announcementText("10.0.0.2"));
+  f.store.put("servers/c", announcementText("10.0.0.3"));
+  REQUIRE(waitFor([&] { return f.follower.accepts("10.0.0.3"); }));
+  Follower newcomer(outdatedStore.endpoint(), { f.follower.control() });
+  newcomer.start();
+  REQUIRE(waitFor([&] { return newcomer.accepts("10.0.0.3"); }));
+  CHECK(newcomer.fleetMap.current()->acceptingCount() == 3);
+}
