--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -17,11 +17,6 @@
  * the mean load.
  */
 constexpr double kLongLivedFlowZoneMargin = 0.10;
-/**
- * It must also have this many flows more, since with few flows the loads of two
- * targets always differ by much.
- */
-constexpr double kLongLivedFlowMinDifference = 2;
 /**
  * A flow with one request goes to another zone if that saves this many requests
  * per slot. A round trip between zones takes about ten milliseconds, a sixth of
@@ -107,7 +102,7 @@
   if (local == nullptr || remote == nullptr) {
     return local != nullptr ? local : remote;
   }
-  return aIsWorthLeavingZone(*local, *remote) ? remote : local;
+  return aIsWorthLeavingZone(aCost(*local), aCost(*remote)) ? remote : local;
 }
 
 } // namespace
@@ -119,24 +114,14 @@
 {
   if (aFlowType == FlowType::ManyRequests) {
     return selectByCost(
-      aCandidates,
-      aFlowHash,
-      flowsPerSlot,
-      [](const Candidate& aLocal, const Candidate& aRemote) {
-        const auto remoteFlows = flowsPerSlot(aRemote);
-        const auto difference = flowsPerSlot(aLocal) - remoteFlows;
-        return difference > remoteFlows * kLongLivedFlowZoneMargin &&
-               difference * effectiveSlots(aLocal) >=
-                 kLongLivedFlowMinDifference;
+      aCandidates, aFlowHash, flowsPerSlot, [](double aLocal, double aRemote) {
+        return aLocal > aRemote * (1 + kLongLivedFlowZoneMargin);
       });
   }
-  return selectByCost(aCandidates,
-                      aFlowHash,
-                      requestsPerSlot,
-                      [](const Candidate& aLocal, const Candidate& aRemote) {
-                        return requestsPerSlot(aLocal) >
-                               requestsPerSlot(aRemote) + kOneRequestZoneMargin;
-                      });
+  return selectByCost(
+    aCandidates, aFlowHash, requestsPerSlot, [](double aLocal, double aRemote) {
+      return aLocal > aRemote + kOneRequestZoneMargin;
+    });
 }
 
 std::vector<Candidate>
