--- a/tests/auto/membership/mapdistribution.cpp
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -220,7 +220,7 @@
 void
 MapDistribution::scheduleAt(std::size_t aProcess,
                             std::chrono::milliseconds aDelay,
-                            std::function<void(Process&)> aAction)
+                            const std::function<void(Process&)>& aAction)
 {
   const auto incarnation = mProcesses[aProcess]->incarnation;
   schedule(aDelay, [this, aProcess, incarnation, aAction] {
--- a/tests/auto/membership/mapdistribution.h
+++ b/tests/auto/membership/mapdistribution.h
@@ -75,7 +75,7 @@
   /** Runs the action when the process runs; not if it was restarted. */
   void scheduleAt(std::size_t aProcess,
                   std::chrono::milliseconds aDelay,
-                  std::function<void(Process&)> aAction);
+                  const std::function<void(Process&)>& aAction);
   void send(std::size_t aFrom,
             const std::vector<Membership::OutgoingMessage>& aMessages);
   void tick(std::size_t aProcess);
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -236,6 +236,30 @@
     after->findTarget(agentEndpoint("10.0.0.1"))->acceptsNewFlows(now));
 }
 
+TEST_CASE("a decoder that keeps the last configuration uses each newer one")
+{
+  SnapshotBuilder builder;
+  Platform::MapDecoder decoder;
+  const auto decode = [&] {
+    return decoder.decode(
+      builder.snapshot, kAgentPort, nullptr, Core::TimePoint(1s));
+  };
+  builder.put("servers/i-1", serverEntry("red", "10.0.0.1:8080"));
+  CHECK(decode().map->acceptingCount() == 1);
+  builder.put("servers/i-2", serverEntry("blue", "10.0.0.2:8080"));
+  const auto decoded = decode();
+  CHECK(decoded.map->acceptingCount() == 2);
+  CHECK(decoded.map->routeCount() == 2);
+  CHECK(decoded.map->version() == 7);
+  builder.put("op/config",
+              R"({"version":8,"routes":[],"services":[{"name":"red"}]})");
+  CHECK(decode().map->version() == 8);
+  CHECK(decode().map->routeCount() == 0);
+  CHECK(decode().errors.size() == 1);
+  builder.put("op/config", "{");
+  CHECK(decode().map == nullptr);
+}
+
 TEST_CASE("there is no map without a valid configuration")
 {
   SnapshotBuilder builder;
