--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -1,5 +1,7 @@
 #include "storefixture.h"
 
+#include "platform/storeclient.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -349,3 +351,15 @@
   REQUIRE(waitFor([&] { return newcomer.accepts("10.0.0.3"); }));
   CHECK(newcomer.fleetMap.current()->acceptingCount() == 3);
 }
+
+TEST_CASE("a request to a peer leaves no connection open")
+{
+  Fixture f;
+  f.startFollower();
+  Platform::StoreClient store(f.store.endpoint());
+  REQUIRE(store.readAll("", 0, 5s).ok());
+  CHECK(store.isConnected());
+  Platform::StoreClient peer(f.follower.control());
+  REQUIRE(peer.readPeer({}, 5s).ok());
+  CHECK_FALSE(peer.isConnected());
+}
