Membership: Rank members with the project's own hash finalizer

Cause: rankOf() had written out Steering::mixBits() again. It calls it now, with the same increment before; the bits of the result are the same, so that ranks do not change (compared line by line).

Checked: tst_membership 9 cases, 308 assertions as before, formatter and linter on the file; no other program was run again.

--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -1,6 +1,7 @@
 #include "membership/membertable.h"
 
 #include "steering/fleetmap.h"
+#include "steering/flowhash.h"
 
 #include <algorithm>
 #include <iterator>
@@ -13,14 +14,13 @@
 /** Every so many intervals a seed gets a message, to join separate groups. */
 constexpr std::uint64_t kSeedInterval = 8;
 
-/** A pseudorandom number that is the same in all processes (SplitMix64). */
+/** A pseudorandom number that is the same in all processes. */
 std::uint64_t
 rankOf(Address aAddress)
 {
-  std::uint64_t value = aAddress + 0x9E3779B97F4A7C15U;
-  value = (value ^ (value >> 30U)) * 0xBF58476D1CE4E5B9U;
-  value = (value ^ (value >> 27U)) * 0x94D049BB133111EBU;
-  return value ^ (value >> 31U);
+  // The increment of SplitMix64, so that small addresses differ in many bits.
+  constexpr std::uint64_t kIncrement = 0x9E3779B97F4A7C15U;
+  return Steering::mixBits(aAddress + kIncrement);
 }
 
 } // namespace
