Steering: Measure the reply times of agents and the traffic of searches

The logs of the FLOW incident did not distinguish a balancer whose own link delays replies from agents that are silent: they showed neither reply times nor what a search sends.

Each message of a balancer contains its send time, which agents return (AgentMessage has 32 bytes instead of 28). ReplyProgress records the newest send time that was answered by any agent. While a balancer searches owners, places flows or suspects agents it writes the new event balancer-load (315) once per second. No decision uses the values yet.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -120,7 +120,7 @@
       mCounters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    mLinks.recordMessage(aFrom, message->mapRevision, aNow);
+    mLinks.recordMessage(aFrom, message->mapRevision, message->sendTime, aNow);
     if (message->kind == MessageKind::Probe) {
       mLinks.sendLoadReport(aFrom, currentLoad(aNow));
       return;
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -20,7 +20,8 @@
 /** After magic, kind, flags and reason. */
 constexpr std::size_t kEraOffset = 4;
 constexpr std::size_t kChangeOffset = 8;
-constexpr std::size_t kFieldsOffset = 16;
+constexpr std::size_t kSendTimeOffset = 16;
+constexpr std::size_t kFieldsOffset = 20;
 constexpr std::size_t kFlowKeyBytes = 12;
 constexpr std::size_t kOwnerNoticeBytes = kFlowKeyBytes + 4;
 constexpr std::size_t kOwnerHintBytes = kFlowKeyBytes + 6;
@@ -155,6 +156,7 @@
   header[3] = static_cast<std::uint8_t>(reason);
   Packet::store32(&header[kEraOffset], mapRevision.era);
   Packet::store64(&header[kChangeOffset], mapRevision.change);
+  Packet::store32(&header[kSendTimeOffset], sendTime.count());
   if (isFromBalancer(kind)) {
     writeRequestFields(*this, &header[kFieldsOffset]);
   } else {
@@ -182,6 +184,7 @@
   message.isLongLived = (flags & kLongLivedFlag) != 0;
   message.mapRevision = { Packet::load32(&aData[kEraOffset]),
                           Packet::load64(&aData[kChangeOffset]) };
+  message.sendTime = SendTime(Packet::load32(&aData[kSendTimeOffset]));
   if (isFromBalancer(message.kind)) {
     readRequestFields(&aData[kFieldsOffset], message);
   } else {
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/maprevision.h"
+#include "steering/replyprogress.h"
 
 #include "packet/flowkey.h"
 
@@ -90,7 +91,7 @@
  */
 struct AgentMessage
 {
-  static constexpr std::size_t kBytes = 28;
+  static constexpr std::size_t kBytes = 32;
 
   MessageKind kind = MessageKind::Probe;
   RejectReason reason = RejectReason::None;
@@ -106,6 +107,11 @@
    * that others have a newer map.
    */
   MapRevision mapRevision;
+  /**
+   * Balancer: when it sends the message. Agent: the send time of the last
+   * message that it received from the balancer.
+   */
+  SendTime sendTime{ 0 };
   /** Forward: identifies the service; see FleetMap::serviceTag(). */
   std::uint32_t serviceTag = 0;
   /** Forward: slots of the backend server in the balancer's fleet map. */
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -46,9 +46,12 @@
   /** Records that a balancer sent a message. */
   void recordMessage(const Core::Endpoint& aFrom,
                      const MapRevision& aMapRevision,
+                     SendTime aSendTime,
                      Core::TimePoint aNow)
   {
-    mBalancers[tokenOf(aFrom) - 1].lastMessageAt = aNow;
+    auto& balancer = mBalancers[tokenOf(aFrom) - 1];
+    balancer.lastMessageAt = aNow;
+    balancer.lastSendTime = aSendTime;
     mNewestMapRevision = std::max(mNewestMapRevision, aMapRevision);
   }
 
@@ -67,7 +70,7 @@
     const auto [it, isNewBalancer] =
       mTokens.try_emplace(endpointKey(aBalancer), mBalancers.size() + 1);
     if (isNewBalancer) {
-      mBalancers.push_back({ aBalancer, {}, {}, {}, false });
+      mBalancers.emplace_back().endpoint = aBalancer;
     }
     return it->second;
   }
@@ -84,7 +87,7 @@
                     RejectReason aReason,
                     const ReportedLoad& aLoad)
   {
-    beginMessage(MessageKind::Reject, aReason, aLoad);
+    beginMessage(aTo, MessageKind::Reject, aReason, aLoad);
     const auto bytes = aPacket.bytes();
     mBuffer.insert(mBuffer.end(), bytes.begin(), bytes.end());
     Format::restoreOriginal(
@@ -101,7 +104,7 @@
     if (aTo.isNull()) {
       return;
     }
-    beginMessage(MessageKind::OwnerNotice, RejectReason::None, aLoad);
+    beginMessage(aTo, MessageKind::OwnerNotice, RejectReason::None, aLoad);
     OwnerNotice{ aFlow, aSequence }.appendTo(mBuffer);
     mOutput.sendToBalancer(aTo, mBuffer);
     mCounters.increment(SteeringCounter::OwnerNotices);
@@ -112,7 +115,7 @@
                      const OwnerHint& aHint,
                      const ReportedLoad& aLoad)
   {
-    beginMessage(MessageKind::OwnerHintReply, RejectReason::None, aLoad);
+    beginMessage(aTo, MessageKind::OwnerHintReply, RejectReason::None, aLoad);
     aHint.appendTo(mBuffer);
     mOutput.sendToBalancer(aTo, mBuffer);
   }
@@ -174,6 +177,8 @@
   {
     Core::Endpoint endpoint;
     Core::TimePoint lastMessageAt{};
+    /** The send time of the balancer's last message. */
+    SendTime lastSendTime{ 0 };
     Core::TimePoint lastReportAt{};
     ReportedLoad lastReport;
     /** Set when a SYN is rejected as full, cleared by a report of a free slot.
@@ -190,7 +195,8 @@
   }
 
   /** Writes the header of a new message to the buffer. */
-  void beginMessage(MessageKind aKind,
+  void beginMessage(const Core::Endpoint& aTo,
+                    MessageKind aKind,
                     RejectReason aReason,
                     const ReportedLoad& aLoad)
   {
@@ -198,6 +204,7 @@
     message.kind = aKind;
     message.reason = aReason;
     message.mapRevision = mNewestMapRevision;
+    message.sendTime = mBalancers[tokenOf(aTo) - 1].lastSendTime;
     message.load = aLoad;
     mBuffer.clear();
     message.appendTo(mBuffer);
@@ -205,7 +212,8 @@
 
   void sendLoadReport(Balancer& aTo, const ReportedLoad& aLoad)
   {
-    beginMessage(MessageKind::LoadReport, RejectReason::None, aLoad);
+    beginMessage(
+      aTo.endpoint, MessageKind::LoadReport, RejectReason::None, aLoad);
     aTo.lastReport = aLoad;
     mOutput.sendToBalancer(aTo.endpoint, mBuffer);
     mCounters.increment(SteeringCounter::LoadReports);
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -168,6 +168,8 @@
     return kRetryInterval;
   }
 
+  std::size_t pendingCount() const { return mPendingFlows.size(); }
+
   bool hasQueued() const { return mPendingFlows.queuedCount() > 0; }
 
 private:
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -3,6 +3,7 @@
 #include "steering/flowplacement.h"
 #include "steering/ownersearch.h"
 #include "steering/steerercontext.h"
+#include "steering/steererreport.h"
 
 #include <absl/types/span.h>
 
@@ -34,6 +35,7 @@
     : mContext(aOutput, std::move(aConfig), aEvents)
     , mPlacement(mContext)
     , mOwnerSearch(mContext)
+    , mReport(mContext.counters)
   {
   }
   FlowSteerer(const FlowSteerer&) = delete;
@@ -41,6 +43,7 @@
 
   void setMap(const FleetMapPointer& aMap, Core::TimePoint aNow)
   {
+    mContext.now = aNow;
     if (mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap)) {
       mContext.targetsSettledAt =
         aNow + OwnerSearch<Format, Output>::kSecondSearchDelay;
@@ -69,6 +72,7 @@
   void handleCallerPacket(absl::Span<const std::uint8_t> aData,
                           Core::TimePoint aNow)
   {
+    mContext.now = aNow;
     mContext.counters.increment(SteeringCounter::PacketsReceived);
     const auto packet = Format::parse(aData);
     if (!packet.ok() || packet->isReturned()) {
@@ -83,6 +87,7 @@
                           absl::Span<const std::uint8_t> aData,
                           Core::TimePoint aNow)
   {
+    mContext.now = aNow;
     const auto message = AgentMessage::parse(aData);
     if (!message.ok()) {
       mContext.counters.increment(SteeringCounter::PacketsMalformed);
@@ -92,6 +97,9 @@
       mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
       return;
     }
+    if (mContext.replies.recordReply(message->sendTime, aNow)) {
+      mReport.recordReplyTime(mContext.replies.lastReplyTime());
+    }
     mContext.loads.recordReport(aFrom, message->load, aNow);
     mContext.newestReportedRevision =
       std::max(mContext.newestReportedRevision, message->mapRevision);
@@ -127,12 +135,18 @@
    */
   void tick(Core::TimePoint aNow)
   {
+    mContext.now = aNow;
     for (const auto& agent : mContext.loads.takeDueProbes(aNow)) {
       mContext.sendProbe(agent);
     }
     mPlacement.tick(aNow);
     mOwnerSearch.tick(aNow);
     mContext.flowCache.expire(aNow);
+    mReport.tick({ mOwnerSearch.searchCount(),
+                   mPlacement.pendingCount(),
+                   mContext.loads.suspectedCount() },
+                 mContext.events,
+                 aNow);
   }
 
   /** Time until tick() is due; std::nullopt if no work is pending. */
@@ -279,6 +293,7 @@
   SteererContext<Format, Output> mContext;
   FlowPlacement<Format, Output> mPlacement;
   OwnerSearch<Format, Output> mOwnerSearch;
+  SteererReport mReport;
 };
 
 } // namespace Steering
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -208,6 +208,8 @@
     }
   }
 
+  std::size_t searchCount() const { return mSearches.size(); }
+
   /** Time until tick() is due; std::nullopt if no search is in progress. */
   std::optional<std::chrono::milliseconds> timeUntilTick() const
   {
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -75,6 +75,7 @@
   /** Removes and returns a search; std::nullopt if there is none. */
   std::optional<PendingSearch> take(const Packet::FlowKey& aFlow);
   bool isEmpty() const { return mSearches.empty(); }
+  std::size_t size() const { return mSearches.size(); }
 
   /**
    * The flow whose last query is the oldest, if that query is at least
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -6,6 +6,7 @@
 #include "steering/flowcache.h"
 #include "steering/flowhash.h"
 #include "steering/packetformat.h"
+#include "steering/replyprogress.h"
 #include "steering/retransmissionschedule.h"
 #include "steering/steeringcounters.h"
 
@@ -97,6 +98,7 @@
     AgentMessage message;
     message.kind = MessageKind::Forward;
     message.mapRevision = mapRevision();
+    message.sendTime = toSendTime(now);
     message.wantsOwnerNotice = !aCachedFlow.isConfirmed;
     message.isLongLived = aRoute.flowType == FlowType::ManyRequests;
     message.serviceTag = map->serviceOf(aCachedFlow.agent).tag;
@@ -109,14 +111,14 @@
     message.appendTo(mBuffer);
     const auto bytes = aPacket.bytes();
     mBuffer.insert(mBuffer.end(), bytes.begin(), bytes.end());
-    output.sendToAgent(aCachedFlow.agent, mBuffer);
+    sendBuffer(aCachedFlow.agent);
     counters.increment(SteeringCounter::PacketsForwarded);
   }
 
   void sendProbe(const Core::Endpoint& aAgent)
   {
     beginMessage(MessageKind::Probe);
-    output.sendToAgent(aAgent, mBuffer);
+    sendBuffer(aAgent);
   }
 
   /** Queries whether the agent's backend server owns the flow. */
@@ -125,7 +127,8 @@
   {
     beginMessage(MessageKind::OwnerQuery);
     OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
-    output.sendToAgent(aAgent, mBuffer);
+    sendBuffer(aAgent);
+    counters.increment(SteeringCounter::OwnerQueries);
   }
 
   /** Notifies an agent that another agent owns a flow. */
@@ -133,7 +136,7 @@
   {
     beginMessage(MessageKind::StoreOwnerHint);
     aHint.appendTo(mBuffer);
-    output.sendToAgent(aAgent, mBuffer);
+    sendBuffer(aAgent);
   }
 
   /**
@@ -170,6 +173,8 @@
   Output& output;
   BalancerConfig config;
   Telemetry::EventLog& events;
+  /** Time of the call that is being handled. */
+  Core::TimePoint now{};
   FleetMapPointer map;
   /** The platform answers, so the map should be up to date. */
   bool isPlatformReachable = false;
@@ -179,6 +184,7 @@
   Core::TimePoint targetsSettledAt{};
   FlowCache flowCache;
   AgentLoadTable loads;
+  ReplyProgress replies;
   SteeringCounters counters;
 
 private:
@@ -190,10 +196,18 @@
     AgentMessage message;
     message.kind = aKind;
     message.mapRevision = mapRevision();
+    message.sendTime = toSendTime(now);
     mBuffer.clear();
     message.appendTo(mBuffer);
   }
 
+  void sendBuffer(const Core::Endpoint& aAgent)
+  {
+    output.sendToAgent(aAgent, mBuffer);
+    replies.recordMessage(now);
+    counters.increment(SteeringCounter::BytesToAgents, mBuffer.size());
+  }
+
   std::vector<std::uint8_t> mBuffer;
 };
 
--- a/src/libs/steering/steeringcounters.cpp
+++ b/src/libs/steering/steeringcounters.cpp
@@ -19,7 +19,8 @@
   "openings_dropped",      "openings_expired",
   "requests_held",         "wrong_service",
   "targets_suspected",     "owner_notices",
-  "load_reports",
+  "load_reports",          "owner_queries",
+  "bytes_to_agents",
 };
 
 } // namespace
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -34,6 +34,8 @@
   TargetsSuspected,
   OwnerNotices,
   LoadReports,
+  OwnerQueries,
+  BytesToAgents,
   Count,
 };
 
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -33,6 +33,7 @@
   FlowFound = 312,
   PacketHandedBack = 313,
   TargetSuspected = 314,
+  BalancerLoad = 315,
   FlowAdmitted = 320,
   FlowTurnedAway = 321,
   FlowNotHeld = 322,
--- a/tests/auto/steering/tst_agentmessage.cpp
+++ b/tests/auto/steering/tst_agentmessage.cpp
@@ -30,6 +30,7 @@
   message.latencyObjective = 300ms;
   message.timeout = 90s;
   message.mapRevision = { 3, 0x123456789A };
+  message.sendTime = Steering::SendTime(0xFEDCBA98);
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Forward);
   CHECK(parsed.wantsOwnerNotice);
@@ -40,6 +41,7 @@
   CHECK(parsed.latencyObjective == 300ms);
   CHECK(parsed.timeout == 65'535ms);
   CHECK(parsed.mapRevision == Steering::MapRevision{ 3, 0x123456789A });
+  CHECK(parsed.sendTime == Steering::SendTime(0xFEDCBA98));
 }
 
 TEST_CASE("agent message: fields sent by an agent survive a round trip")
@@ -48,10 +50,12 @@
   message.kind = Steering::MessageKind::Reject;
   message.reason = Steering::RejectReason::Full;
   message.load = { 5, 3, 41, 55ms, true };
+  message.sendTime = Steering::SendTime(7);
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Reject);
   CHECK(parsed.reason == Steering::RejectReason::Full);
   CHECK(parsed.load.inProgress == 5);
+  CHECK(parsed.sendTime == Steering::SendTime(7));
   CHECK(parsed.load.lateRequests == 3);
   CHECK(parsed.load.longLivedFlows == 41);
   CHECK(parsed.load.serviceTime == 55ms);
