Tests: Reproduce a balancer that fills its own link with searches

When the replies of all agents are late, as behind a full link, a balancer suspects each of them and sends the packets of its searches and new flows to one agent after the other. Ruled out by the events of the incident: silent agents (no target fails) and a process without processor time (pauses of at most 13 ms).

--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -875,6 +875,27 @@
   CHECK(f.output.toAgents.empty());
 }
 
+TEST_CASE("a balancer whose own link is full does not send more" *
+          doctest::should_fail())
+{
+  // The replies of all agents are late, as when the balancer's link is full.
+  Fixture f;
+  for (std::uint16_t caller = 1; caller <= 40; ++caller) {
+    f.sendSyn(caller);
+  }
+  for (std::uint16_t caller = 41; caller <= 80; ++caller) {
+    f.sendData(caller);
+  }
+  const auto sentBytes = f.output.bytesToAgents;
+  for (int i = 0; i < 200; ++i) {
+    f.now += 10ms;
+    f.steerer.tick(f.now);
+  }
+  CHECK(f.output.bytesToAgents <= 2 * sentBytes);
+  CHECK(f.steerer.counters().value(
+          Steering::SteeringCounter::TargetsSuspected) == 0);
+}
+
 TEST_CASE("a balancer that no agent replies to is isolated")
 {
   Fixture f;
