Steering: Tell overdue replies from a delay of the balancer itself

Cause: a reply counted as overdue 100 ms after the message was sent. A balancer whose own link is full gets all replies late, so it suspected sound agents of all zones and sent the packets of its searches and new flows to the next agent every 100 ms. That traffic kept the link full. It is the class of fault in which a process takes its own delay for the silence of others, and a retry that adds load when the load is the cause.

Change: - ReplyProgress decides for all timers of a balancer: a reply is overdue if a message that was sent later by the timeout has been answered. If nothing has been answered, agents are probed in turn until one replies. - Agents answer each owner query, also with "unknown". An agent with its full history that does not know a flow gets no packet of it. Silent agents are queried again before they get a packet, and a lost packet is repeated to an agent that is alive. - Queries and packets of searches share a quarter of the link (LinkBudget); it replaces the limit of one flow per 10 ms.

Why it works: a full link delays the reply to the later message as well, so nothing is concluded and nothing more is sent, and the link empties.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -273,8 +273,9 @@
   }
 
   /**
-   * Replies with an owner notice or an owner hint; no reply if the owner is
-   * unknown.
+   * Replies with an owner notice, an owner hint, or that the flow is unknown. A
+   * flow that was seen but is not confirmed gets no reply: the backend server
+   * may own it.
    */
   void replyToOwnerQuery(const Core::Endpoint& aFrom,
                          absl::Span<const std::uint8_t> aBody,
@@ -293,6 +294,8 @@
     const auto owner = mHints.find(query->flow);
     if (!owner.isNull()) {
       mLinks.sendOwnerHint(aFrom, { query->flow, owner }, currentLoad(aNow));
+    } else if (flow == nullptr) {
+      mLinks.sendUnknownFlowReply(aFrom, query->flow, currentLoad(aNow));
     }
   }
 
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -1,6 +1,7 @@
 #include "steering/agentloadtable.h"
 
 #include "steering/fleetmap.h"
+#include "steering/replyprogress.h"
 
 namespace Steering {
 
@@ -60,9 +61,11 @@
 AgentLoadTable::updateSuspicion(Entry& aEntry, Core::TimePoint aNow)
 {
   auto& loadEstimate = aEntry.loadEstimate;
-  const bool isOverdue = loadEstimate.unansweredSince != Core::TimePoint{} &&
-                         aNow - loadEstimate.unansweredSince > kReplyTimeout;
-  if (isOverdue && !loadEstimate.isSuspected()) {
+  if (loadEstimate.isSuspected() ||
+      loadEstimate.unansweredSince == Core::TimePoint{}) {
+    return;
+  }
+  if (mReplies.isOverdue(loadEstimate.unansweredSince, kReplyTimeout, aNow)) {
     loadEstimate.suspectedAt = aNow;
     ++mSuspectedCount;
   }
--- a/src/libs/steering/agentloadtable.h
+++ b/src/libs/steering/agentloadtable.h
@@ -12,6 +12,8 @@
 
 namespace Steering {
 
+class ReplyProgress;
+
 /** A balancer's estimate of one target's load. */
 struct LoadEstimate
 {
@@ -63,7 +65,8 @@
 {
 public:
   /**
-   * After this time a reply is overdue. Agents reply within milliseconds, and a
+   * After this time a reply is overdue, if messages that were sent later have
+   * been answered (ReplyProgress). Agents reply within milliseconds, and a
    * round trip between zones takes about ten. The timeout is half of the 200 ms
    * after which a caller retransmits its SYN.
    */
@@ -75,6 +78,11 @@
    */
   static constexpr std::chrono::milliseconds kUnavailableBackoff{ 250 };
 
+  explicit AgentLoadTable(ReplyProgress& aReplies)
+    : mReplies(aReplies)
+  {
+  }
+
   /** Records that the agent has to reply to a message sent at aNow. */
   void expectReply(const Core::Endpoint& aAgent, Core::TimePoint aNow);
   void recordNewFlow(const Core::Endpoint& aAgent, bool aIsLongLived);
@@ -121,6 +129,7 @@
   Entry& findOrInsert(const Core::Endpoint& aAgent);
   void updateSuspicion(Entry& aEntry, Core::TimePoint aNow);
 
+  ReplyProgress& mReplies;
   absl::flat_hash_map<std::uint64_t, Entry> mEntries;
   std::size_t mSuspectedCount = 0;
 };
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -53,7 +53,7 @@
 hasKnownCodes(std::uint8_t aKind, std::uint8_t aReason)
 {
   return aKind >= static_cast<std::uint8_t>(MessageKind::Forward) &&
-         aKind <= static_cast<std::uint8_t>(MessageKind::OwnerHintReply) &&
+         aKind <= static_cast<std::uint8_t>(MessageKind::UnknownFlowReply) &&
          aReason <= static_cast<std::uint8_t>(RejectReason::Draining);
 }
 
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -29,13 +29,19 @@
   Probe = 5,
   /**
    * Balancer to agent: queries the owner of a flow. The agent replies with an
-   * owner notice or an owner hint; it does not reply if the owner is unknown.
+   * owner notice, an owner hint, or that it does not know the flow.
    */
   OwnerQuery = 6,
   /** Balancer to agent: another agent owns the flow; an owner hint follows. */
   StoreOwnerHint = 7,
   /** Agent to balancer: replies to an owner query with a stored owner hint. */
   OwnerHintReply = 8,
+  /**
+   * Agent to balancer: replies to an owner query that it knows neither the flow
+   * nor its owner. If it has its full history, its backend server does not own
+   * the flow.
+   */
+  UnknownFlowReply = 9,
 };
 
 /** Why an agent rejected a packet. */
@@ -131,7 +137,7 @@
     absl::Span<const std::uint8_t> aData);
 };
 
-/** Body of an owner notice and of an owner query. */
+/** Body of an owner notice, an owner query and an unknown flow reply. */
 struct OwnerNotice
 {
   Packet::FlowKey flow;
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -120,6 +120,16 @@
     mOutput.sendToBalancer(aTo, mBuffer);
   }
 
+  /** Reports to a balancer that this agent does not know a flow. */
+  void sendUnknownFlowReply(const Core::Endpoint& aTo,
+                            const Packet::FlowKey& aFlow,
+                            const ReportedLoad& aLoad)
+  {
+    beginMessage(aTo, MessageKind::UnknownFlowReply, RejectReason::None, aLoad);
+    OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
+    mOutput.sendToBalancer(aTo, mBuffer);
+  }
+
   void sendLoadReport(const Core::Endpoint& aTo, const ReportedLoad& aLoad)
   {
     sendLoadReport(mBalancers[tokenOf(aTo) - 1], aLoad);
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -69,9 +69,8 @@
       mContext.counters.increment(SteeringCounter::OpeningsRepeated);
       mPendingFlows.recordRetransmission(
         *pending, aPacket.retransmissionCount(), aNow);
-      const bool isReplyPending =
-        aNow - pending->forwardedAt < AgentLoadTable::kReplyTimeout;
-      if (pending->isQueued() || isReplyPending) {
+      if (pending->isQueued() ||
+          !mContext.isReplyOverdue(pending->forwardedAt, aNow)) {
         return;
       }
       abandonUnresponsiveAgent(*pending, aNow);
@@ -151,8 +150,10 @@
     for (const auto& flow :
          mPendingFlows.unansweredFlows(AgentLoadTable::kReplyTimeout, aNow)) {
       auto* pending = mPendingFlows.find(flow);
-      abandonUnresponsiveAgent(*pending, aNow);
-      placeFlow(*pending, aNow);
+      if (mContext.isReplyOverdue(pending->forwardedAt, aNow)) {
+        abandonUnresponsiveAgent(*pending, aNow);
+        placeFlow(*pending, aNow);
+      }
     }
     if (aNow - mLastRetryAt >= kRetryInterval) {
       retryQueued(aNow);
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -28,6 +28,11 @@
    * A balancer that received nothing from any agent for this time is isolated.
    */
   static constexpr std::chrono::milliseconds kIsolationTimeout{ 600 };
+  /**
+   * While evidence is missing whether replies are overdue, one agent after the
+   * other is probed at this interval, which is the round trip between zones.
+   */
+  static constexpr std::chrono::milliseconds kEvidenceProbeInterval{ 10 };
 
   FlowSteerer(Output& aOutput,
               BalancerConfig aConfig,
@@ -112,7 +117,10 @@
         handleOwnerNotice(aFrom, body, aNow);
         break;
       case MessageKind::OwnerHintReply:
-        handleOwnerHintReply(body, aNow);
+        handleOwnerHintReply(aFrom, body, aNow);
+        break;
+      case MessageKind::UnknownFlowReply:
+        handleUnknownFlowReply(aFrom, body);
         break;
       case MessageKind::LoadReport:
         mContext.counters.increment(SteeringCounter::LoadReports);
@@ -141,6 +149,7 @@
     }
     mPlacement.tick(aNow);
     mOwnerSearch.tick(aNow);
+    probeForEvidence(aNow);
     mContext.flowCache.expire(aNow);
     mReport.tick({ mOwnerSearch.searchCount(),
                    mPlacement.pendingCount(),
@@ -158,6 +167,9 @@
     if (const auto placementTime = mPlacement.timeUntilTick()) {
       return placementTime;
     }
+    if (mContext.replies.isEvidenceMissing()) {
+      return kEvidenceProbeInterval;
+    }
     if (mContext.loads.suspectedCount() > 0) {
       return AgentLoadTable::kProbeInterval;
     }
@@ -167,13 +179,66 @@
   /** Whether no agent replies to this balancer. */
   bool isIsolated(Core::TimePoint aNow) const
   {
-    return mContext.map != nullptr && mContext.loads.suspectedCount() > 0 &&
+    return mContext.map != nullptr && isEvidenceMissingFor(aNow) &&
            mContext.loads.recentlySeenCount(kIsolationTimeout, aNow) == 0;
   }
 
 private:
   using PacketType = typename Format::Packet;
 
+  /** Whether no agent has replied to anything for kIsolationTimeout. */
+  bool isEvidenceMissingFor(Core::TimePoint aNow) const
+  {
+    return mContext.replies.isEvidenceMissing() &&
+           aNow - mContext.replies.evidenceMissingSince() >= kIsolationTimeout;
+  }
+
+  /** Probes the next agent if isOverdue() of the replies cannot decide. */
+  void probeForEvidence(Core::TimePoint aNow)
+  {
+    const auto interval = isEvidenceMissingFor(aNow)
+                            ? AgentLoadTable::kProbeInterval
+                            : kEvidenceProbeInterval;
+    if (mContext.map == nullptr || !mContext.replies.isEvidenceMissing() ||
+        aNow - mLastEvidenceProbeAt < interval) {
+      return;
+    }
+    const auto* agent = nextAgent(aNow);
+    if (agent != nullptr) {
+      mLastEvidenceProbeAt = aNow;
+      mContext.loads.expectReply(*agent, aNow);
+      mContext.sendProbe(*agent);
+    }
+  }
+
+  /** The next agent in turn, a suspected one only if there is no other. */
+  const Core::Endpoint* nextAgent(Core::TimePoint aNow)
+  {
+    std::size_t count = 0;
+    for (const auto& service : mContext.map->services()) {
+      count += service.targets.size();
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto* agent = agentAt(++mProbedAgentCount % count);
+      if (!mContext.loads.isSuspected(*agent, aNow)) {
+        return agent;
+      }
+    }
+    return count == 0 ? nullptr : agentAt(++mProbedAgentCount % count);
+  }
+
+  /** The agent at a position in the list of all targets of all services. */
+  const Core::Endpoint* agentAt(std::size_t aIndex) const
+  {
+    for (const auto& service : mContext.map->services()) {
+      if (aIndex < service.targets.size()) {
+        return &service.targets[aIndex].agent;
+      }
+      aIndex -= service.targets.size();
+    }
+    return nullptr;
+  }
+
   static bool hasNewTarget(const FleetMap& aBefore, const FleetMap& aAfter)
   {
     for (const auto& service : aAfter.services()) {
@@ -279,7 +344,19 @@
     }
   }
 
-  void handleOwnerHintReply(absl::Span<const std::uint8_t> aBody,
+  void handleUnknownFlowReply(const Core::Endpoint& aFrom,
+                              absl::Span<const std::uint8_t> aBody)
+  {
+    const auto reply = OwnerNotice::parse(aBody);
+    if (!reply.ok()) {
+      mContext.counters.increment(SteeringCounter::PacketsMalformed);
+      return;
+    }
+    mOwnerSearch.handleUnknownFlow(reply->flow, aFrom);
+  }
+
+  void handleOwnerHintReply(const Core::Endpoint& aFrom,
+                            absl::Span<const std::uint8_t> aBody,
                             Core::TimePoint aNow)
   {
     const auto hint = OwnerHint::parse(aBody);
@@ -287,13 +364,15 @@
       mContext.counters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    mOwnerSearch.handleOwnerHint(*hint, aNow);
+    mOwnerSearch.handleOwnerHint(*hint, aFrom, aNow);
   }
 
   SteererContext<Format, Output> mContext;
   FlowPlacement<Format, Output> mPlacement;
   OwnerSearch<Format, Output> mOwnerSearch;
   SteererReport mReport;
+  Core::TimePoint mLastEvidenceProbeAt{};
+  std::size_t mProbedAgentCount = 0;
 };
 
 } // namespace Steering
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -13,10 +13,11 @@
 
 /**
  * Finds the owner of an unknown flow. Agents are queried whether they own it.
- * A restarted agent may not know the flows of its backend server. Therefore the
- * flow's packets are also sent to one agent after the other; backend servers
- * return packets of flows that they do not own. All packets of a flow share one
- * search.
+ * A restarted agent may not know the flows of its backend server. Therefore one
+ * packet of the flow is also sent to one agent after the other, except those
+ * that have their full history; backend servers return packets of flows that
+ * they do not own. All packets of a flow share one search. Silent agents are
+ * queried twice before they get a packet, since a query may be lost.
  */
 template<PacketFormat Format, BalancerOutput Output>
 class OwnerSearch
@@ -27,17 +28,15 @@
   /** Interval at which searches in progress are checked. */
   static constexpr std::chrono::milliseconds kTickInterval{ 10 };
   /**
-   * How long a packet waits for a reply to the queries before it is sent to one
+   * How long a packet waits for replies to the queries before it is sent to one
    * agent after the other: half of the reply timeout. An owner whose agent
    * knows the flow replies within a millisecond in its zone, and within ten
    * from another zone.
    */
   static constexpr auto kForwardDelay = AgentLoadTable::kReplyTimeout / 2;
   /**
-   * Minimum time between two rounds of queries for the same flow. At most one
-   * flow gets a new round per kTickInterval. Sixteen queries for each of 100
-   * flows per second take a tenth of a 10 Mbit/s link, so searches add little
-   * load to a congested link.
+   * Time between two rounds of queries for the same flow, unless all agents
+   * replied. Queries and forwarded packets of all searches share a LinkBudget.
    */
   static constexpr auto kQueryInterval = AgentLoadTable::kReplyTimeout;
   /** Number of agents in the first round of queries: both shortlists. */
@@ -82,7 +81,10 @@
     if (auto* search = mSearches.find(aFlow); search != nullptr) {
       PendingSearches::bufferPacket(*search, aPacket.bytes());
       if (search->isExhausted()) {
-        restartSearch(aFlow, aRoute, *search, aNow);
+        // Callers retransmit at ever longer intervals, so waiting for the next
+        // packet of the flow would take seconds.
+        search->restart();
+        queryMoreAgents(aFlow, aRoute, *cachedFlow, *search, aNow);
       }
     } else if (!needsSearch) {
       mContext.forward(aPacket, aRoute, *cachedFlow);
@@ -109,7 +111,32 @@
       return;
     }
     cachedFlow.excludedAgents.add(aFrom);
-    forwardToNextAgent(aPacket, aFlow, aRoute, cachedFlow, aNow);
+    auto* search = mSearches.find(aFlow);
+    if (search == nullptr) {
+      startSearch(aPacket, aFlow, aRoute, cachedFlow, aNow);
+    } else if (search->isForwarded()) {
+      forwardToNextAgent(aPacket, aFlow, aRoute, cachedFlow, aNow);
+    } else {
+      PendingSearches::bufferPacket(*search, aPacket.bytes());
+    }
+  }
+
+  /** Handles the reply of an agent that it does not know the flow. */
+  void handleUnknownFlow(const Packet::FlowKey& aFlow,
+                         const Core::Endpoint& aFrom)
+  {
+    auto* search = mSearches.find(aFlow);
+    auto* cachedFlow = mContext.flowCache.find(aFlow);
+    if (search == nullptr || cachedFlow == nullptr) {
+      return;
+    }
+    if (search->unansweredQueries > 0) {
+      --search->unansweredQueries;
+    }
+    if (mContext.loads.find(aFrom).reported.hasFullHistory) {
+      cachedFlow->excludedAgents.add(aFrom);
+      cachedFlow->rejectedBy.add(aFrom);
+    }
   }
 
   /**
@@ -163,8 +190,11 @@
    * Handles an owner hint of an agent: sends the first buffered packet to the
    * agent that the hint names.
    */
-  void handleOwnerHint(const OwnerHint& aHint, Core::TimePoint aNow)
+  void handleOwnerHint(const OwnerHint& aHint,
+                       const Core::Endpoint& aFrom,
+                       Core::TimePoint aNow)
   {
+    handleUnknownFlow(aHint.flow, aFrom);
     auto* search = mSearches.find(aHint.flow);
     auto* cachedFlow = mContext.flowCache.find(aHint.flow);
     const auto* route = mContext.findRoute(aHint.flow);
@@ -176,10 +206,9 @@
                            !mContext.map->serves(*route, aHint.agent);
     if (!isUseless && !search->packets.empty()) {
       cachedFlow->agent = aHint.agent;
-      search->forwardedAt = aNow;
-      mContext.loads.expectReply(aHint.agent, aNow);
-      mContext.forward(
-        *Format::parse(search->packets.front()), *route, *cachedFlow);
+      search->recordForward(aNow);
+      forwardInSearch(
+        *Format::parse(search->packets.front()), *route, *cachedFlow, aNow);
     }
   }
 
@@ -189,21 +218,23 @@
     mSearches.expire(aNow);
     for (const auto& flow :
          mSearches.exhaustedFlows(kSecondSearchDelay, aNow)) {
-      updateSearch(flow, [&](const auto& aRoute, auto& /*aCachedFlow*/) {
-        restartSearch(flow, aRoute, *mSearches.find(flow), aNow);
+      updateSearch(flow, [&](const auto& /*aRoute*/, auto& /*aCachedFlow*/) {
+        mSearches.find(flow)->restart();
       });
     }
-    queryForOldestSearch(aNow);
+    sendDueQueries(aNow);
     for (const auto& flow : mSearches.unforwardedFlows(kForwardDelay, aNow)) {
       updateSearch(flow, [&](const auto& aRoute, auto& aCachedFlow) {
-        forwardFirstPacket(flow, aRoute, aCachedFlow, aNow);
+        const auto startedAt = mSearches.find(flow)->startedAt;
+        if (mContext.replies.isOverdue(startedAt, kForwardDelay, aNow)) {
+          forwardFirstPacket(flow, aRoute, aCachedFlow, aNow);
+        }
       });
     }
     for (const auto& flow :
          mSearches.unansweredFlows(AgentLoadTable::kReplyTimeout, aNow)) {
       updateSearch(flow, [&](const auto& aRoute, auto& aCachedFlow) {
-        aCachedFlow.excludedAgents.add(aCachedFlow.agent);
-        forwardFirstPacket(flow, aRoute, aCachedFlow, aNow);
+        handleMissingReply(flow, aRoute, aCachedFlow, aNow);
       });
     }
   }
@@ -264,57 +295,121 @@
     aCachedFlow.agent = {};
     aCachedFlow.isConfirmed = false;
     PendingSearches::bufferPacket(*search, aPacket.bytes());
-    queryMoreAgents(aFlow, aRoute, *search, aNow);
-  }
-
-  /**
-   * Searches again: the flow's next packet has arrived, or what is known of the
-   * targets may be complete now. Callers retransmit at ever longer intervals,
-   * so that waiting for their next packet would take seconds.
-   */
-  void restartSearch(const Packet::FlowKey& aFlow,
-                     const Route& aRoute,
-                     PendingSearch& aSearch,
-                     Core::TimePoint aNow)
-  {
-    aSearch.restart();
-    queryMoreAgents(aFlow, aRoute, aSearch, aNow);
+    queryMoreAgents(aFlow, aRoute, aCachedFlow, *search, aNow);
   }
 
   /**
    * Queries the next agents in search order for the owner. Each round more than
-   * doubles the number of queried agents.
+   * doubles the number of queried agents. No-op if the budget is spent; tick()
+   * repeats it.
    */
   void queryMoreAgents(const Packet::FlowKey& aFlow,
                        const Route& aRoute,
+                       const CachedFlow& aCachedFlow,
                        PendingSearch& aSearch,
                        Core::TimePoint aNow)
   {
+    if (!mContext.searchBudget.isAvailable(aNow)) {
+      return;
+    }
     const auto order =
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
     const auto end =
       std::min(order.size(), aSearch.queriedCount * 2 + kFirstQueryCount);
     for (auto i = aSearch.queriedCount; i < end; ++i) {
-      mContext.sendOwnerQuery(order[i]->agent, aFlow);
+      if (!aCachedFlow.excludedAgents.contains(order[i]->agent)) {
+        mContext.sendOwnerQuery(order[i]->agent, aFlow);
+        ++aSearch.unansweredQueries;
+      }
     }
     aSearch.queriedCount = std::max(aSearch.queriedCount, end);
     aSearch.areAllQueried = aSearch.queriedCount >= order.size();
     aSearch.lastQueryAt = aNow;
   }
 
-  /** Starts the next round for the flow whose last round is the oldest. */
-  void queryForOldestSearch(Core::TimePoint aNow)
+  /** Sends the queries that are due, for the longest waiting flows first. */
+  void sendDueQueries(Core::TimePoint aNow)
   {
-    if (aNow - mLastQueryAt < kTickInterval) {
+    for (const auto& flow : mSearches.flowsToQuery(kQueryInterval, aNow)) {
+      if (!mContext.searchBudget.isAvailable(aNow)) {
+        return;
+      }
+      updateSearch(flow, [&](const auto& aRoute, auto& aCachedFlow) {
+        auto& search = *mSearches.find(flow);
+        if (isQueryDue(search, aNow)) {
+          queryMoreAgents(flow, aRoute, aCachedFlow, search, aNow);
+        }
+      });
+    }
+  }
+
+  /** Whether another round is due; begins the next pass if there is one. */
+  bool isQueryDue(PendingSearch& aSearch, Core::TimePoint aNow)
+  {
+    if (!isRoundOver(aSearch, aNow)) {
+      return false;
+    }
+    if (!aSearch.areAllQueried) {
+      return true;
+    }
+    if (aSearch.unansweredQueries == 0 || aSearch.isLastPass()) {
+      return false;
+    }
+    aSearch.beginNextPass();
+    return true;
+  }
+
+  /** Whether each agent queried so far replied, or its reply is overdue. */
+  bool isRoundOver(const PendingSearch& aSearch, Core::TimePoint aNow)
+  {
+    return aSearch.unansweredQueries == 0 ||
+           mContext.replies.isOverdue(
+             aSearch.lastQueryAt, kQueryInterval, aNow);
+  }
+
+  /** Whether no further reply to the queries is expected. */
+  bool areQueriesOver(const PendingSearch& aSearch, Core::TimePoint aNow)
+  {
+    return aSearch.areAllQueried && isRoundOver(aSearch, aNow) &&
+           (aSearch.unansweredQueries == 0 || aSearch.isLastPass());
+  }
+
+  /**
+   * Sends the first packet again, once, to an agent that has replied to others
+   * since: the packet or its rejection was lost. Otherwise tries the next
+   * agent.
+   */
+  void handleMissingReply(const Packet::FlowKey& aFlow,
+                          const Route& aRoute,
+                          CachedFlow& aCachedFlow,
+                          Core::TimePoint aNow)
+  {
+    auto& search = *mSearches.find(aFlow);
+    if (!mContext.isReplyOverdue(search.forwardedAt, aNow)) {
       return;
     }
-    const auto flow = mSearches.dueForQuery(kQueryInterval, aNow);
-    if (flow) {
-      mLastQueryAt = aNow;
-      updateSearch(*flow, [&](const auto& aRoute, auto& /*aCachedFlow*/) {
-        queryMoreAgents(*flow, aRoute, *mSearches.find(*flow), aNow);
-      });
+    const bool isAlive =
+      mContext.loads.find(aCachedFlow.agent).reportedAt > search.forwardedAt;
+    if (isAlive && !search.isForwardRepeated && !search.packets.empty()) {
+      search.recordForward(aNow);
+      search.isForwardRepeated = true;
+      forwardInSearch(
+        *Format::parse(search.packets.front()), aRoute, aCachedFlow, aNow);
+      return;
     }
+    aCachedFlow.excludedAgents.add(aCachedFlow.agent);
+    forwardFirstPacket(aFlow, aRoute, aCachedFlow, aNow);
+  }
+
+  /** Forwards a packet whose owner is not certain. */
+  void forwardInSearch(const PacketType& aPacket,
+                       const Route& aRoute,
+                       const CachedFlow& aCachedFlow,
+                       Core::TimePoint aNow)
+  {
+    mContext.loads.expectReply(aCachedFlow.agent, aNow);
+    mContext.searchBudget.take(aPacket.bytes().size());
+    mContext.forward(aPacket, aRoute, aCachedFlow);
   }
 
   /**
@@ -347,7 +442,10 @@
     }
   }
 
-  /** Sends a packet to the next agent, or ends the search if none is left. */
+  /**
+   * Sends a packet to the next agent, or ends the search if none is left. No-op
+   * while only agents are left whose replies to the queries are expected.
+   */
   void forwardToNextAgent(const PacketType& aPacket,
                           const Packet::FlowKey& aFlow,
                           const Route& aRoute,
@@ -356,44 +454,76 @@
   {
     aCachedFlow.isConfirmed = false;
     aCachedFlow.agent = {};
+    auto* search = mSearches.find(aFlow);
+    const auto candidates =
+      findCandidates(aFlow, aRoute, aCachedFlow, search, aNow);
+    if (!candidates.isAnyLeft) {
+      mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
+      endExhaustedSearch(
+        aPacket, aFlow, aCachedFlow, candidates.haveAllRejected, aNow);
+      return;
+    }
+    if (candidates.next == nullptr) {
+      if (search != nullptr) {
+        search->forwardedAt = {};
+      }
+      return;
+    }
+    aCachedFlow.agent = candidates.next->agent;
+    if (search != nullptr) {
+      search->recordForward(aNow);
+    }
+    forwardInSearch(aPacket, aRoute, aCachedFlow, aNow);
+  }
+
+  /** The agents that may get a packet of an unknown flow. */
+  struct Candidates
+  {
+    const Target* next = nullptr;
+    bool isAnyLeft = false;
+    bool haveAllRejected = false;
+  };
+
+  Candidates findCandidates(const Packet::FlowKey& aFlow,
+                            const Route& aRoute,
+                            const CachedFlow& aCachedFlow,
+                            const PendingSearch* aSearch,
+                            Core::TimePoint aNow)
+  {
     const auto order =
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
-    bool haveAllRejected = !order.empty();
-    const Target* next = nullptr;
+    const bool mayTryAll = aSearch == nullptr || areQueriesOver(*aSearch, aNow);
+    Candidates candidates;
+    candidates.haveAllRejected = !order.empty();
     for (const auto* target : order) {
       const auto& agent = target->agent;
       const bool isSuspected = mContext.loads.isSuspected(agent, aNow);
       // A target that is no longer announced and does not reply is gone, and
       // its flows with it.
       const bool isGone = target->isGone(aNow) && isSuspected;
-      haveAllRejected =
-        haveAllRejected && (aCachedFlow.rejectedBy.contains(agent) || isGone);
-      const bool isExcluded =
-        aCachedFlow.excludedAgents.contains(agent) || isSuspected;
-      // An agent with its full history would have replied to the query that it
-      // owns the flow.
-      const bool isPreferred = next == nullptr || (mayOwnUnknownFlow(*target) &&
-                                                   !mayOwnUnknownFlow(*next));
-      if (!isExcluded && isPreferred) {
-        next = target;
+      candidates.haveAllRejected =
+        candidates.haveAllRejected &&
+        (aCachedFlow.rejectedBy.contains(agent) || isGone);
+      if (aCachedFlow.excludedAgents.contains(agent) || isSuspected) {
+        continue;
+      }
+      candidates.isAnyLeft = true;
+      const bool isPreferred =
+        candidates.next == nullptr ||
+        (lacksHistory(*target) && !lacksHistory(*candidates.next));
+      if ((mayTryAll || lacksHistory(*target)) && isPreferred) {
+        candidates.next = target;
       }
     }
-    if (next == nullptr) {
-      mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
-      endExhaustedSearch(aPacket, aFlow, aCachedFlow, haveAllRejected, aNow);
-      return;
-    }
-    aCachedFlow.agent = next->agent;
-    if (auto* search = mSearches.find(aFlow); search != nullptr) {
-      search->forwardedAt = aNow;
-    }
-    mContext.loads.expectReply(aCachedFlow.agent, aNow);
-    mContext.forward(aPacket, aRoute, aCachedFlow);
+    return candidates;
   }
 
-  bool mayOwnUnknownFlow(const Target& aTarget) const
+  /** The agent may not know the flows of its backend server. */
+  bool lacksHistory(const Target& aTarget) const
   {
-    return !mContext.loads.find(aTarget.agent).reported.hasFullHistory;
+    const auto& load = mContext.loads.find(aTarget.agent);
+    return load.reportedAt != Core::TimePoint{} &&
+           !load.reported.hasFullHistory;
   }
 
   /**
@@ -425,8 +555,6 @@
 
   SteererContext<Format, Output>& mContext;
   PendingSearches mSearches;
-  /** When agents were last queried by tick(). */
-  Core::TimePoint mLastQueryAt{};
 };
 
 } // namespace Steering
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -1,5 +1,6 @@
 #include "steering/pendingsearches.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Steering {
@@ -56,20 +57,29 @@
   return due;
 }
 
-std::optional<Packet::FlowKey>
-PendingSearches::dueForQuery(std::chrono::milliseconds aInterval,
-                             Core::TimePoint aNow) const
+std::vector<Packet::FlowKey>
+PendingSearches::flowsToQuery(std::chrono::milliseconds aInterval,
+                              Core::TimePoint aNow) const
 {
-  std::optional<Packet::FlowKey> oldest;
-  auto earliest = aNow - aInterval;
+  std::vector<std::pair<Core::TimePoint, Packet::FlowKey>> searches;
   for (const auto& [flow, search] : mSearches) {
-    if (!search.areAllQueried && !search.isExhausted() &&
-        search.lastQueryAt <= earliest) {
-      oldest = flow;
-      earliest = search.lastQueryAt;
+    const bool isDue =
+      search.unansweredQueries == 0 || aNow - search.lastQueryAt >= aInterval;
+    if (isDue && !search.isExhausted()) {
+      searches.emplace_back(search.lastQueryAt, flow);
     }
   }
-  return oldest;
+  std::sort(searches.begin(),
+            searches.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.first < aRight.first;
+            });
+  std::vector<Packet::FlowKey> flows;
+  flows.reserve(searches.size());
+  for (const auto& [lastQueryAt, flow] : searches) {
+    flows.push_back(flow);
+  }
+  return flows;
 }
 
 std::vector<Packet::FlowKey>
@@ -77,7 +87,7 @@
                                   Core::TimePoint aNow) const
 {
   return collect([&](const PendingSearch& aSearch) {
-    return !aSearch.isExhausted() && aSearch.forwardedAt == Core::TimePoint{} &&
+    return !aSearch.isExhausted() && !aSearch.isForwarded() &&
            aNow - aSearch.startedAt >= aDelay;
   });
 }
@@ -87,7 +97,7 @@
                                  Core::TimePoint aNow) const
 {
   return collect([&](const PendingSearch& aSearch) {
-    return !aSearch.isExhausted() && aSearch.forwardedAt != Core::TimePoint{} &&
+    return !aSearch.isExhausted() && aSearch.isForwarded() &&
            aNow - aSearch.forwardedAt >= aTimeout;
   });
 }
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -16,34 +16,60 @@
 /** The search for a flow's owner, with the packets buffered meanwhile. */
 struct PendingSearch
 {
+  /** Passes in which each agent is queried before others are tried. */
+  static constexpr int kMaxPasses = 2;
+
   Core::TimePoint startedAt{};
   /**
    * When the first buffered packet was last sent to an agent; null if it was
    * not.
    */
   Core::TimePoint forwardedAt{};
+  /** The packet was sent to the same agent again. */
+  bool isForwardRepeated = false;
   /**
-   * Number of agents queried for the owner, from the start of the search order.
+   * Number of agents queried for the owner in this pass, from the start of the
+   * search order.
    */
   std::size_t queriedCount = 0;
+  /** How many queries of this pass have no reply. */
+  std::size_t unansweredQueries = 0;
   Core::TimePoint lastQueryAt{};
   bool areAllQueried = false;
+  int passCount = 0;
   /**
    * When no agent was left to try and the flow could not be reset; null while
    * the search goes on.
    */
   Core::TimePoint exhaustedAt{};
+  std::vector<std::vector<std::uint8_t>> packets;
 
   bool isExhausted() const { return exhaustedAt != Core::TimePoint{}; }
+  bool isForwarded() const { return forwardedAt != Core::TimePoint{}; }
+  bool isLastPass() const { return passCount + 1 >= kMaxPasses; }
+  void recordForward(Core::TimePoint aNow)
+  {
+    forwardedAt = aNow;
+    isForwardRepeated = false;
+  }
+  /** Queries all agents again that did not reply. */
+  void beginNextPass()
+  {
+    ++passCount;
+    queriedCount = 0;
+    unansweredQueries = 0;
+    areAllQueried = false;
+  }
   /** Starts again with the same packets. */
   void restart()
   {
     forwardedAt = {};
     queriedCount = 0;
+    unansweredQueries = 0;
     areAllQueried = false;
+    passCount = 0;
     exhaustedAt = {};
   }
-  std::vector<std::vector<std::uint8_t>> packets;
 };
 
 /** The searches in progress of one balancer. Not thread-safe. */
@@ -78,12 +104,11 @@
   std::size_t size() const { return mSearches.size(); }
 
   /**
-   * The flow whose last query is the oldest, if that query is at least
-   * aInterval old and there are agents left to query.
+   * Flows whose last queries are all answered or at least aInterval old, by the
+   * time of these queries.
    */
-  std::optional<Packet::FlowKey> dueForQuery(
-    std::chrono::milliseconds aInterval,
-    Core::TimePoint aNow) const;
+  std::vector<Packet::FlowKey> flowsToQuery(std::chrono::milliseconds aInterval,
+                                            Core::TimePoint aNow) const;
   /**
    * Flows whose search started at least aDelay ago and whose packets were not
    * sent to any agent yet.
--- a/src/libs/steering/replyprogress.cpp
+++ b/src/libs/steering/replyprogress.cpp
@@ -31,9 +31,26 @@
     return false;
   }
   mAnsweredUntil = sentAt;
+  mEvidenceMissingSince = {};
   mLastReplyTime =
     std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
   return true;
 }
 
+bool
+ReplyProgress::isOverdue(Core::TimePoint aSentAt,
+                         std::chrono::milliseconds aTimeout,
+                         Core::TimePoint aNow)
+{
+  if (aNow - aSentAt < aTimeout) {
+    return false;
+  }
+  const auto sentAt = std::chrono::floor<std::chrono::milliseconds>(aSentAt);
+  const bool isOverdue = mAnsweredUntil >= sentAt + aTimeout;
+  if (!isOverdue && !isEvidenceMissing()) {
+    mEvidenceMissingSince = aNow;
+  }
+  return isOverdue;
+}
+
 } // namespace Steering
--- a/src/libs/steering/replyprogress.h
+++ b/src/libs/steering/replyprogress.h
@@ -18,9 +18,10 @@
 
 /**
  * Records up to which send time a balancer's messages have been answered by any
- * agent. Replies that wait in the balancer's own link or socket do not count as
- * answered, so a delay of the balancer itself is told from the silence of an
- * agent. Not thread-safe.
+ * agent. A reply counts as overdue only if a message that was sent later was
+ * answered: messages and replies that wait in the balancer's own link or socket
+ * delay all agents, so that such a delay is not taken for the silence of one.
+ * Not thread-safe.
  */
 class ReplyProgress
 {
@@ -36,6 +37,23 @@
    */
   bool recordReply(SendTime aSendTime, Core::TimePoint aNow);
 
+  /**
+   * Whether the reply to a message sent at aSentAt is overdue: a message sent
+   * at least aTimeout later was answered. If none was, evidence is missing.
+   */
+  bool isOverdue(Core::TimePoint aSentAt,
+                 std::chrono::milliseconds aTimeout,
+                 Core::TimePoint aNow);
+  /**
+   * Since when isOverdue() cannot decide and no newer message was answered;
+   * null if it can. The reply to any new message provides the evidence.
+   */
+  Core::TimePoint evidenceMissingSince() const { return mEvidenceMissingSince; }
+  bool isEvidenceMissing() const
+  {
+    return mEvidenceMissingSince != Core::TimePoint{};
+  }
+
   /** The newest send time that was answered; null if there is none. */
   Core::TimePoint answeredUntil() const { return mAnsweredUntil; }
   /** Time from sending to the reply that advanced the progress last. */
@@ -46,6 +64,7 @@
   Core::TimePoint mFirstSentAt{};
   Core::TimePoint mAnsweredUntil{};
   std::chrono::milliseconds mLastReplyTime{ 0 };
+  Core::TimePoint mEvidenceMissingSince{};
 };
 
 } // namespace Steering
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -5,6 +5,7 @@
 #include "steering/fleetmap.h"
 #include "steering/flowcache.h"
 #include "steering/flowhash.h"
+#include "steering/linkbudget.h"
 #include "steering/packetformat.h"
 #include "steering/replyprogress.h"
 #include "steering/retransmissionschedule.h"
@@ -39,6 +40,8 @@
 {
   std::string zone;
   RetransmissionSchedule retransmissionSchedule;
+  /** Rate of the network link in bytes per second. */
+  std::uint64_t linkRate = LinkBudget::kDefaultLinkRate;
 };
 
 /**
@@ -56,6 +59,8 @@
     : output(aOutput)
     , config(std::move(aConfig))
     , events(aEvents)
+    , loads(replies)
+    , searchBudget(config.linkRate)
   {
   }
 
@@ -75,6 +80,12 @@
            newestReportedRevision <= mapRevision();
   }
 
+  /** Whether the reply of an agent to a message sent at aSentAt is overdue. */
+  bool isReplyOverdue(Core::TimePoint aSentAt, Core::TimePoint aNow)
+  {
+    return replies.isOverdue(aSentAt, AgentLoadTable::kReplyTimeout, aNow);
+  }
+
   /** Null if there is no map, or no route for the address. */
   const Route* findRoute(const Packet::FlowKey& aFlow) const
   {
@@ -128,6 +139,7 @@
     beginMessage(MessageKind::OwnerQuery);
     OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
     sendBuffer(aAgent);
+    searchBudget.take(mBuffer.size());
     counters.increment(SteeringCounter::OwnerQueries);
   }
 
@@ -183,8 +195,10 @@
   /** Until this time there may be targets that are not in the map yet. */
   Core::TimePoint targetsSettledAt{};
   FlowCache flowCache;
-  AgentLoadTable loads;
   ReplyProgress replies;
+  AgentLoadTable loads;
+  /** What owner searches may send. */
+  LinkBudget searchBudget;
   SteeringCounters counters;
 
 private:
