Platform: Read the rate of the network link from the settings

The budget of owner searches is a quarter of the link. The field is optional; a value that is no positive number is an error that names it. New case in tst_nodesettings; it does not compile before this change.

--- a/tests/auto/platform/tst_nodesettings.cpp
+++ b/tests/auto/platform/tst_nodesettings.cpp
@@ -61,6 +61,24 @@
   CHECK(settings->seeds.size() == 2);
 }
 
+TEST_CASE("the rate of the link is optional, but must be a positive number")
+{
+  const auto parse = [](const std::string& aText) {
+    return Platform::parseNodeSettings(
+      "node.toml", aText, Platform::NodeRole::Balancer);
+  };
+  CHECK(parse(kBalancer)->linkRate == Steering::LinkBudget::kDefaultLinkRate);
+  CHECK(parse(kBalancer + "[limits]\nlinkMbps = 20.5\n")->linkRate ==
+        2'562'500);
+  for (const auto* value : { "0", "-1.0", "\"fast\"" }) {
+    const auto settings =
+      parse(kBalancer + "[limits]\nlinkMbps = " + value + "\n");
+    REQUIRE_FALSE(settings.ok());
+    CHECK(settings.status().message() ==
+          "node.toml: limits.linkMbps: expected a number of Mbit/s above 0");
+  }
+}
+
 TEST_CASE("an agent's settings are parsed")
 {
   const auto settings =
