Steering: Send packets of a search only to agents that may own the flow

Cause: a link that is full of callers' own data loses messages instead of delaying them. A lost query or reply then looked like an agent that does not know the flow, and the search sent the packet to the next agent; one lost message made an agent suspected, so that searches passed by the owner.

Change: - An agent is suspected only if the reply to a probe is overdue as well; it gets no new flow from the first overdue reply on. - A packet is sent only to agents that reply that they may own the flow, after all agents replied or after three passes of queries. Agents that do not reply are queried again at growing intervals. - Only the owner replies to the first round of queries. Replies that an agent knows no owner are requested later, and count as traffic of the link.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -127,7 +127,7 @@
     }
     const auto body = aData.subspan(AgentMessage::kBytes);
     if (message->kind == MessageKind::OwnerQuery) {
-      replyToOwnerQuery(aFrom, body, aNow);
+      replyToOwnerQuery(aFrom, *message, body, aNow);
       return;
     }
     if (message->kind == MessageKind::StoreOwnerHint) {
@@ -273,11 +273,11 @@
   }
 
   /**
-   * Replies with an owner notice, an owner hint, or that the flow is unknown. A
-   * flow that was seen but is not confirmed gets no reply: the backend server
-   * may own it.
+   * Replies with an owner notice, an owner hint, or that it knows no owner if
+   * that is requested.
    */
   void replyToOwnerQuery(const Core::Endpoint& aFrom,
+                         const AgentMessage& aMessage,
                          absl::Span<const std::uint8_t> aBody,
                          Core::TimePoint aNow)
   {
@@ -291,12 +291,20 @@
       sendOwnerNotice(aFrom, query->flow, 0, aNow);
       return;
     }
+    const auto load = currentLoad(aNow);
     const auto owner = mHints.find(query->flow);
     if (!owner.isNull()) {
-      mLinks.sendOwnerHint(aFrom, { query->flow, owner }, currentLoad(aNow));
-    } else if (flow == nullptr) {
-      mLinks.sendUnknownFlowReply(aFrom, query->flow, currentLoad(aNow));
+      mLinks.sendOwnerHint(aFrom, { query->flow, owner }, load);
     }
+    if (!aMessage.wantsUnknownFlowReply) {
+      return;
+    }
+    const bool isUnknown = flow == nullptr && load.hasFullHistory;
+    mLinks.sendUnknownFlowReply(aFrom,
+                                query->flow,
+                                isUnknown ? RejectReason::UnknownFlow
+                                          : RejectReason::None,
+                                load);
   }
 
   /** RejectReason::None if a new flow is admitted. */
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -36,15 +36,12 @@
                              Core::TimePoint aNow)
 {
   auto& loadEstimate = findOrInsert(aAgent).loadEstimate;
-  if (loadEstimate.isSuspected()) {
-    --mSuspectedCount;
-  }
+  clearSuspicion(loadEstimate);
   loadEstimate.reported = aLoad;
   loadEstimate.reportedAt = aNow;
   loadEstimate.unreportedFlows = 0;
   loadEstimate.unreportedLongLivedFlows = 0;
   loadEstimate.unansweredSince = {};
-  loadEstimate.suspectedAt = {};
   loadEstimate.unavailableUntil =
     aLoad.isUnavailable ? aNow + kUnavailableBackoff : Core::TimePoint{};
 }
@@ -65,10 +62,28 @@
       loadEstimate.unansweredSince == Core::TimePoint{}) {
     return;
   }
-  if (mReplies.isOverdue(loadEstimate.unansweredSince, kReplyTimeout, aNow)) {
+  if (!mReplies.isOverdue(loadEstimate.unansweredSince, kReplyTimeout, aNow)) {
+    return;
+  }
+  if (loadEstimate.isOverdue()) {
     loadEstimate.suspectedAt = aNow;
     ++mSuspectedCount;
+    return;
   }
+  loadEstimate.overdueAt = aNow;
+  ++mOverdueCount;
+  // The probe that takeDueProbes() returns next has the whole timeout.
+  loadEstimate.unansweredSince = {};
+  aEntry.lastProbeAt = {};
+}
+
+void
+AgentLoadTable::clearSuspicion(LoadEstimate& aLoadEstimate)
+{
+  mOverdueCount -= aLoadEstimate.isOverdue() ? 1 : 0;
+  mSuspectedCount -= aLoadEstimate.isSuspected() ? 1 : 0;
+  aLoadEstimate.overdueAt = {};
+  aLoadEstimate.suspectedAt = {};
 }
 
 bool
@@ -85,7 +100,9 @@
 bool
 AgentLoadTable::isUsable(const Core::Endpoint& aAgent, Core::TimePoint aNow)
 {
-  return !isSuspected(aAgent, aNow) && find(aAgent).unavailableUntil <= aNow;
+  isSuspected(aAgent, aNow);
+  const auto& loadEstimate = find(aAgent);
+  return !loadEstimate.isOverdue() && loadEstimate.unavailableUntil <= aNow;
 }
 
 std::vector<Core::Endpoint>
@@ -93,10 +110,14 @@
 {
   std::vector<Core::Endpoint> due;
   for (auto& [key, entry] : mEntries) {
-    const bool isDue = entry.loadEstimate.isSuspected() &&
+    updateSuspicion(entry, aNow);
+    const bool isDue = entry.loadEstimate.isOverdue() &&
                        aNow - entry.lastProbeAt >= kProbeInterval;
     if (isDue) {
       entry.lastProbeAt = aNow;
+      if (entry.loadEstimate.unansweredSince == Core::TimePoint{}) {
+        entry.loadEstimate.unansweredSince = aNow;
+      }
       due.push_back(entry.agent);
     }
   }
--- a/src/libs/steering/agentloadtable.h
+++ b/src/libs/steering/agentloadtable.h
@@ -31,7 +31,13 @@
    */
   Core::TimePoint unansweredSince{};
   /**
-   * When the reply was found to be overdue; null if the agent is not suspected.
+   * When a reply was found to be overdue; null if there is none. The agent gets
+   * no new flow and is probed.
+   */
+  Core::TimePoint overdueAt{};
+  /**
+   * When the reply to the probe was overdue as well; null if the agent is not
+   * suspected.
    */
   Core::TimePoint suspectedAt{};
   /**
@@ -53,13 +59,14 @@
   {
     return reported.longLivedFlows + unreportedLongLivedFlows;
   }
+  bool isOverdue() const { return overdueAt != Core::TimePoint{}; }
   bool isSuspected() const { return suspectedAt != Core::TimePoint{}; }
 };
 
 /**
  * Tracks the load and the responsiveness of agents. An agent is suspected when
- * its reply to a message is overdue, and until the next message from it. Not
- * thread-safe.
+ * its replies to a message and to a probe after it are overdue, since one
+ * message may be lost, and until the next message from it. Not thread-safe.
  */
 class AgentLoadTable
 {
@@ -71,7 +78,7 @@
    * after which a caller retransmits its SYN.
    */
   static constexpr std::chrono::milliseconds kReplyTimeout{ 100 };
-  /** Interval between two probes of a suspected agent. */
+  /** Interval between two probes of an agent whose reply is overdue. */
   static constexpr std::chrono::milliseconds kProbeInterval{ 250 };
   /**
    * How long a target gets no new flow after it reported itself as unavailable.
@@ -93,15 +100,17 @@
   /** All values are zero for an unknown agent. */
   const LoadEstimate& find(const Core::Endpoint& aAgent) const;
   bool isSuspected(const Core::Endpoint& aAgent, Core::TimePoint aNow);
-  /** Neither suspected nor reported as unavailable. */
+  /** No reply is overdue, and the agent did not report itself unavailable. */
   bool isUsable(const Core::Endpoint& aAgent, Core::TimePoint aNow);
 
   /**
-   * Returns the suspected agents whose next probe is due, and marks them as
-   * probed.
+   * Returns the agents with an overdue reply whose next probe is due, and marks
+   * them as probed.
    */
   std::vector<Core::Endpoint> takeDueProbes(Core::TimePoint aNow);
   std::size_t suspectedCount() const { return mSuspectedCount; }
+  /** Number of agents with an overdue reply, including the suspected ones. */
+  std::size_t overdueCount() const { return mOverdueCount; }
   /** Number of agents that sent a message within the last aPeriod. */
   std::size_t recentlySeenCount(std::chrono::milliseconds aPeriod,
                                 Core::TimePoint aNow) const;
@@ -109,10 +118,10 @@
   template<typename IsKept>
   void retainIf(IsKept aIsKept)
   {
-    absl::erase_if(mEntries, [this, &aIsKept](const auto& aEntry) {
+    absl::erase_if(mEntries, [this, &aIsKept](auto& aEntry) {
       const bool isRemoved = !aIsKept(aEntry.second.agent);
-      if (isRemoved && aEntry.second.loadEstimate.isSuspected()) {
-        --mSuspectedCount;
+      if (isRemoved) {
+        clearSuspicion(aEntry.second.loadEstimate);
       }
       return isRemoved;
     });
@@ -128,9 +137,11 @@
 
   Entry& findOrInsert(const Core::Endpoint& aAgent);
   void updateSuspicion(Entry& aEntry, Core::TimePoint aNow);
+  void clearSuspicion(LoadEstimate& aLoadEstimate);
 
   ReplyProgress& mReplies;
   absl::flat_hash_map<std::uint64_t, Entry> mEntries;
+  std::size_t mOverdueCount = 0;
   std::size_t mSuspectedCount = 0;
 };
 
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint8_t kLongLivedFlag = 0x04;
 constexpr std::uint8_t kUnavailableFlag = 0x08;
 constexpr std::uint8_t kFullHistoryFlag = 0x10;
+constexpr std::uint8_t kWantsUnknownFlowReplyFlag = 0x20;
 /** After magic, kind, flags and reason. */
 constexpr std::size_t kEraOffset = 4;
 constexpr std::size_t kChangeOffset = 8;
@@ -34,6 +35,7 @@
   flags |= aMessage.isLongLived ? kLongLivedFlag : 0;
   flags |= aMessage.load.isUnavailable ? kUnavailableFlag : 0;
   flags |= aMessage.load.hasFullHistory ? kFullHistoryFlag : 0;
+  flags |= aMessage.wantsUnknownFlowReply ? kWantsUnknownFlowReplyFlag : 0;
   return flags;
 }
 
@@ -181,6 +183,7 @@
   message.kind = static_cast<MessageKind>(aData[1]);
   message.reason = static_cast<RejectReason>(aData[3]);
   message.wantsOwnerNotice = (flags & kWantsOwnerNoticeFlag) != 0;
+  message.wantsUnknownFlowReply = (flags & kWantsUnknownFlowReplyFlag) != 0;
   message.isLongLived = (flags & kLongLivedFlag) != 0;
   message.mapRevision = { Packet::load32(&aData[kEraOffset]),
                           Packet::load64(&aData[kChangeOffset]) };
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -29,7 +29,8 @@
   Probe = 5,
   /**
    * Balancer to agent: queries the owner of a flow. The agent replies with an
-   * owner notice, an owner hint, or that it does not know the flow.
+   * owner notice, an owner hint, or, if that is requested, that it knows no
+   * owner.
    */
   OwnerQuery = 6,
   /** Balancer to agent: another agent owns the flow; an owner hint follows. */
@@ -37,9 +38,9 @@
   /** Agent to balancer: replies to an owner query with a stored owner hint. */
   OwnerHintReply = 8,
   /**
-   * Agent to balancer: replies to an owner query that it knows neither the flow
-   * nor its owner. If it has its full history, its backend server does not own
-   * the flow.
+   * Agent to balancer: replies to an owner query that it knows no owner. The
+   * reason is UnknownFlow if its backend server certainly does not own the
+   * flow, None if it may own it.
    */
   UnknownFlowReply = 9,
 };
@@ -106,6 +107,8 @@
    * owner notice.
    */
   bool wantsOwnerNotice = false;
+  /** OwnerQuery: the agent replies also if it knows no owner. */
+  bool wantsUnknownFlowReply = false;
   /** Forward: the flow carries many requests. */
   bool isLongLived = false;
   /**
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -120,12 +120,16 @@
     mOutput.sendToBalancer(aTo, mBuffer);
   }
 
-  /** Reports to a balancer that this agent does not know a flow. */
+  /**
+   * Reports to a balancer that this agent does not know a flow, for the reason
+   * that MessageKind::UnknownFlowReply describes.
+   */
   void sendUnknownFlowReply(const Core::Endpoint& aTo,
                             const Packet::FlowKey& aFlow,
+                            RejectReason aReason,
                             const ReportedLoad& aLoad)
   {
-    beginMessage(aTo, MessageKind::UnknownFlowReply, RejectReason::None, aLoad);
+    beginMessage(aTo, MessageKind::UnknownFlowReply, aReason, aLoad);
     OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
     mOutput.sendToBalancer(aTo, mBuffer);
   }
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -117,10 +117,10 @@
         handleOwnerNotice(aFrom, body, aNow);
         break;
       case MessageKind::OwnerHintReply:
-        handleOwnerHintReply(aFrom, body, aNow);
+        handleOwnerHintReply(body, aNow);
         break;
       case MessageKind::UnknownFlowReply:
-        handleUnknownFlowReply(aFrom, body);
+        handleUnknownFlowReply(aFrom, message->reason, body);
         break;
       case MessageKind::LoadReport:
         mContext.counters.increment(SteeringCounter::LoadReports);
@@ -144,11 +144,11 @@
   void tick(Core::TimePoint aNow)
   {
     mContext.now = aNow;
+    mPlacement.tick(aNow);
+    mOwnerSearch.tick(aNow);
     for (const auto& agent : mContext.loads.takeDueProbes(aNow)) {
       mContext.sendProbe(agent);
     }
-    mPlacement.tick(aNow);
-    mOwnerSearch.tick(aNow);
     probeForEvidence(aNow);
     mContext.flowCache.expire(aNow);
     mReport.tick({ mOwnerSearch.searchCount(),
@@ -170,7 +170,7 @@
     if (mContext.replies.isEvidenceMissing()) {
       return kEvidenceProbeInterval;
     }
-    if (mContext.loads.suspectedCount() > 0) {
+    if (mContext.loads.overdueCount() > 0) {
       return AgentLoadTable::kProbeInterval;
     }
     return std::nullopt;
@@ -345,6 +345,7 @@
   }
 
   void handleUnknownFlowReply(const Core::Endpoint& aFrom,
+                              RejectReason aReason,
                               absl::Span<const std::uint8_t> aBody)
   {
     const auto reply = OwnerNotice::parse(aBody);
@@ -352,11 +353,11 @@
       mContext.counters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    mOwnerSearch.handleUnknownFlow(reply->flow, aFrom);
+    mOwnerSearch.handleUnknownFlow(
+      reply->flow, aFrom, aReason == RejectReason::UnknownFlow);
   }
 
-  void handleOwnerHintReply(const Core::Endpoint& aFrom,
-                            absl::Span<const std::uint8_t> aBody,
+  void handleOwnerHintReply(absl::Span<const std::uint8_t> aBody,
                             Core::TimePoint aNow)
   {
     const auto hint = OwnerHint::parse(aBody);
@@ -364,7 +365,7 @@
       mContext.counters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    mOwnerSearch.handleOwnerHint(*hint, aFrom, aNow);
+    mOwnerSearch.handleOwnerHint(*hint, aNow);
   }
 
   SteererContext<Format, Output> mContext;
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -14,10 +14,10 @@
 /**
  * Finds the owner of an unknown flow. Agents are queried whether they own it.
  * A restarted agent may not know the flows of its backend server. Therefore one
- * packet of the flow is also sent to one agent after the other, except those
- * that have their full history; backend servers return packets of flows that
- * they do not own. All packets of a flow share one search. Silent agents are
- * queried twice before they get a packet, since a query may be lost.
+ * packet of the flow is also sent to one after the other of the agents that
+ * reply so; backend servers return packets of flows that they do not own.
+ * Agents that do not reply are queried again. All packets of a flow share one
+ * search.
  */
 template<PacketFormat Format, BalancerOutput Output>
 class OwnerSearch
@@ -121,9 +121,13 @@
     }
   }
 
-  /** Handles the reply of an agent that it does not know the flow. */
+  /**
+   * Handles the reply of an agent that it does not know the flow. aIsCertain:
+   * its backend server does not own the flow.
+   */
   void handleUnknownFlow(const Packet::FlowKey& aFlow,
-                         const Core::Endpoint& aFrom)
+                         const Core::Endpoint& aFrom,
+                         bool aIsCertain)
   {
     auto* search = mSearches.find(aFlow);
     auto* cachedFlow = mContext.flowCache.find(aFlow);
@@ -133,9 +137,11 @@
     if (search->unansweredQueries > 0) {
       --search->unansweredQueries;
     }
-    if (mContext.loads.find(aFrom).reported.hasFullHistory) {
+    if (aIsCertain) {
       cachedFlow->excludedAgents.add(aFrom);
       cachedFlow->rejectedBy.add(aFrom);
+    } else {
+      search->uncertainAgents.add(aFrom);
     }
   }
 
@@ -190,11 +196,8 @@
    * Handles an owner hint of an agent: sends the first buffered packet to the
    * agent that the hint names.
    */
-  void handleOwnerHint(const OwnerHint& aHint,
-                       const Core::Endpoint& aFrom,
-                       Core::TimePoint aNow)
+  void handleOwnerHint(const OwnerHint& aHint, Core::TimePoint aNow)
   {
-    handleUnknownFlow(aHint.flow, aFrom);
     auto* search = mSearches.find(aHint.flow);
     auto* cachedFlow = mContext.flowCache.find(aHint.flow);
     const auto* route = mContext.findRoute(aHint.flow);
@@ -316,9 +319,18 @@
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
     const auto end =
       std::min(order.size(), aSearch.queriedCount * 2 + kFirstQueryCount);
+    // Most owners are found in the first round, so only they reply to it.
+    aSearch.areRepliesRequested =
+      aSearch.queriedCount > 0 || aSearch.passCount > 0;
     for (auto i = aSearch.queriedCount; i < end; ++i) {
-      if (!aCachedFlow.excludedAgents.contains(order[i]->agent)) {
-        mContext.sendOwnerQuery(order[i]->agent, aFlow);
+      const auto& agent = order[i]->agent;
+      if (aCachedFlow.excludedAgents.contains(agent) ||
+          aSearch.uncertainAgents.contains(agent)) {
+        continue;
+      }
+      mContext.sendOwnerQuery(agent, aFlow, aSearch.areRepliesRequested);
+      if (aSearch.areRepliesRequested) {
+        mContext.loads.expectReply(agent, aNow);
         ++aSearch.unansweredQueries;
       }
     }
@@ -346,38 +358,29 @@
   /** Whether another round is due; begins the next pass if there is one. */
   bool isQueryDue(PendingSearch& aSearch, Core::TimePoint aNow)
   {
-    if (!isRoundOver(aSearch, aNow)) {
-      return false;
-    }
-    if (!aSearch.areAllQueried) {
+    if (aSearch.queriedCount == 0) {
       return true;
     }
-    if (aSearch.unansweredQueries == 0 || aSearch.isLastPass()) {
+    const bool isLastRound = aSearch.areAllQueried;
+    const bool isFirstPass = aSearch.passCount == 0;
+    if (isLastRound && !isFirstPass && aSearch.isAnswered()) {
+      return false;
+    }
+    const auto interval =
+      isLastRound ? kQueryInterval * (1 << aSearch.passCount) : kQueryInterval;
+    if (!aSearch.isAnswered() &&
+        !mContext.replies.isOverdue(aSearch.lastQueryAt, interval, aNow)) {
       return false;
     }
-    aSearch.beginNextPass();
+    if (isLastRound) {
+      aSearch.beginNextPass();
+    }
     return true;
   }
 
-  /** Whether each agent queried so far replied, or its reply is overdue. */
-  bool isRoundOver(const PendingSearch& aSearch, Core::TimePoint aNow)
-  {
-    return aSearch.unansweredQueries == 0 ||
-           mContext.replies.isOverdue(
-             aSearch.lastQueryAt, kQueryInterval, aNow);
-  }
-
-  /** Whether no further reply to the queries is expected. */
-  bool areQueriesOver(const PendingSearch& aSearch, Core::TimePoint aNow)
-  {
-    return aSearch.areAllQueried && isRoundOver(aSearch, aNow) &&
-           (aSearch.unansweredQueries == 0 || aSearch.isLastPass());
-  }
-
   /**
-   * Sends the first packet again, once, to an agent that has replied to others
-   * since: the packet or its rejection was lost. Otherwise tries the next
-   * agent.
+   * Sends the first packet to the same agent again, since it or its rejection
+   * may be lost; then tries the next agent.
    */
   void handleMissingReply(const Packet::FlowKey& aFlow,
                           const Route& aRoute,
@@ -388,9 +391,7 @@
     if (!mContext.isReplyOverdue(search.forwardedAt, aNow)) {
       return;
     }
-    const bool isAlive =
-      mContext.loads.find(aCachedFlow.agent).reportedAt > search.forwardedAt;
-    if (isAlive && !search.isForwardRepeated && !search.packets.empty()) {
+    if (!search.isForwardRepeated && !search.packets.empty()) {
       search.recordForward(aNow);
       search.isForwardRepeated = true;
       forwardInSearch(
@@ -443,8 +444,9 @@
   }
 
   /**
-   * Sends a packet to the next agent, or ends the search if none is left. No-op
-   * while only agents are left whose replies to the queries are expected.
+   * Sends a packet to the next uncertain agent, or ends the search if no agent
+   * is left. No-op while only agents are left that did not reply to the
+   * queries.
    */
   void forwardToNextAgent(const PacketType& aPacket,
                           const Packet::FlowKey& aFlow,
@@ -455,8 +457,12 @@
     aCachedFlow.isConfirmed = false;
     aCachedFlow.agent = {};
     auto* search = mSearches.find(aFlow);
+    if (search == nullptr) {
+      mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
+      return;
+    }
     const auto candidates =
-      findCandidates(aFlow, aRoute, aCachedFlow, search, aNow);
+      findCandidates(aFlow, aRoute, aCachedFlow, *search, aNow);
     if (!candidates.isAnyLeft) {
       mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
       endExhaustedSearch(
@@ -464,15 +470,11 @@
       return;
     }
     if (candidates.next == nullptr) {
-      if (search != nullptr) {
-        search->forwardedAt = {};
-      }
+      search->forwardedAt = {};
       return;
     }
     aCachedFlow.agent = candidates.next->agent;
-    if (search != nullptr) {
-      search->recordForward(aNow);
-    }
+    search->recordForward(aNow);
     forwardInSearch(aPacket, aRoute, aCachedFlow, aNow);
   }
 
@@ -481,18 +483,18 @@
   {
     const Target* next = nullptr;
     bool isAnyLeft = false;
+    bool isReplyMissing = false;
     bool haveAllRejected = false;
   };
 
   Candidates findCandidates(const Packet::FlowKey& aFlow,
                             const Route& aRoute,
                             const CachedFlow& aCachedFlow,
-                            const PendingSearch* aSearch,
+                            const PendingSearch& aSearch,
                             Core::TimePoint aNow)
   {
     const auto order =
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
-    const bool mayTryAll = aSearch == nullptr || areQueriesOver(*aSearch, aNow);
     Candidates candidates;
     candidates.haveAllRejected = !order.empty();
     for (const auto* target : order) {
@@ -504,28 +506,23 @@
       candidates.haveAllRejected =
         candidates.haveAllRejected &&
         (aCachedFlow.rejectedBy.contains(agent) || isGone);
-      if (aCachedFlow.excludedAgents.contains(agent) || isSuspected) {
+      if (aCachedFlow.excludedAgents.contains(agent) || isGone) {
         continue;
       }
       candidates.isAnyLeft = true;
-      const bool isPreferred =
-        candidates.next == nullptr ||
-        (lacksHistory(*target) && !lacksHistory(*candidates.next));
-      if ((mayTryAll || lacksHistory(*target)) && isPreferred) {
+      const bool isUncertain = aSearch.uncertainAgents.contains(agent);
+      candidates.isReplyMissing |= !isUncertain && !isSuspected;
+      if (candidates.next == nullptr && isUncertain && !isSuspected) {
         candidates.next = target;
       }
     }
+    if (candidates.isReplyMissing &&
+        aSearch.passCount < PendingSearch::kPassesBeforeForwarding) {
+      candidates.next = nullptr;
+    }
     return candidates;
   }
 
-  /** The agent may not know the flows of its backend server. */
-  bool lacksHistory(const Target& aTarget) const
-  {
-    const auto& load = mContext.loads.find(aTarget.agent);
-    return load.reportedAt != Core::TimePoint{} &&
-           !load.reported.hasFullHistory;
-  }
-
   /**
    * Ends a search without agents left to try. Resets the flow if it certainly
    * has no owner.
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -1,6 +1,7 @@
 #include "steering/pendingsearches.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace Steering {
@@ -61,22 +62,25 @@
 PendingSearches::flowsToQuery(std::chrono::milliseconds aInterval,
                               Core::TimePoint aNow) const
 {
-  std::vector<std::pair<Core::TimePoint, Packet::FlowKey>> searches;
+  using Entry = std::pair<Packet::FlowKey, const PendingSearch*>;
+  std::vector<Entry> searches;
   for (const auto& [flow, search] : mSearches) {
-    const bool isDue =
-      search.unansweredQueries == 0 || aNow - search.lastQueryAt >= aInterval;
+    const bool isDue = search.queriedCount == 0 || search.isAnswered() ||
+                       aNow - search.lastQueryAt >= aInterval;
     if (isDue && !search.isExhausted()) {
-      searches.emplace_back(search.lastQueryAt, flow);
+      searches.emplace_back(flow, &search);
     }
   }
-  std::sort(searches.begin(),
-            searches.end(),
-            [](const auto& aLeft, const auto& aRight) {
-              return aLeft.first < aRight.first;
-            });
+  std::sort(
+    searches.begin(),
+    searches.end(),
+    [](const Entry& aLeft, const Entry& aRight) {
+      return std::tie(aLeft.second->passCount, aLeft.second->lastQueryAt) <
+             std::tie(aRight.second->passCount, aRight.second->lastQueryAt);
+    });
   std::vector<Packet::FlowKey> flows;
   flows.reserve(searches.size());
-  for (const auto& [lastQueryAt, flow] : searches) {
+  for (const auto& [flow, search] : searches) {
     flows.push_back(flow);
   }
   return flows;
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/flowcache.h"
+
 #include "core/clock.h"
 #include "packet/flowkey.h"
 
@@ -9,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace Steering {
@@ -16,8 +19,11 @@
 /** The search for a flow's owner, with the packets buffered meanwhile. */
 struct PendingSearch
 {
-  /** Passes in which each agent is queried before others are tried. */
-  static constexpr int kMaxPasses = 2;
+  /**
+   * Passes of queries before packets are sent to agents although others did not
+   * reply, one of which may know the flow. They take 700 ms.
+   */
+  static constexpr int kPassesBeforeForwarding = 3;
 
   Core::TimePoint startedAt{};
   /**
@@ -32,11 +38,16 @@
    * search order.
    */
   std::size_t queriedCount = 0;
-  /** How many queries of this pass have no reply. */
+  /** Whether the agents of the last round reply if they know no owner. */
+  bool areRepliesRequested = false;
+  /** How many queries of this pass whose replies are requested have none. */
   std::size_t unansweredQueries = 0;
   Core::TimePoint lastQueryAt{};
   bool areAllQueried = false;
+  /** How often all agents have been queried that did not reply. */
   int passCount = 0;
+  /** Agents that do not know whether their backend server owns the flow. */
+  AgentSet uncertainAgents;
   /**
    * When no agent was left to try and the flow could not be reset; null while
    * the search goes on.
@@ -45,8 +56,12 @@
   std::vector<std::vector<std::uint8_t>> packets;
 
   bool isExhausted() const { return exhaustedAt != Core::TimePoint{}; }
+  /** Each agent of the last round has replied. */
+  bool isAnswered() const
+  {
+    return areRepliesRequested && unansweredQueries == 0;
+  }
   bool isForwarded() const { return forwardedAt != Core::TimePoint{}; }
-  bool isLastPass() const { return passCount + 1 >= kMaxPasses; }
   void recordForward(Core::TimePoint aNow)
   {
     forwardedAt = aNow;
@@ -63,12 +78,9 @@
   /** Starts again with the same packets. */
   void restart()
   {
-    forwardedAt = {};
-    queriedCount = 0;
-    unansweredQueries = 0;
-    areAllQueried = false;
-    passCount = 0;
-    exhaustedAt = {};
+    auto bufferedPackets = std::move(packets);
+    *this = { .startedAt = startedAt, .lastQueryAt = lastQueryAt };
+    packets = std::move(bufferedPackets);
   }
 };
 
@@ -104,7 +116,8 @@
   std::size_t size() const { return mSearches.size(); }
 
   /**
-   * Flows whose last queries are all answered or at least aInterval old, by the
+   * Flows that were not queried yet, or whose last queries are all answered or
+   * at least aInterval old: those with the fewest passes first, then by the
    * time of these queries.
    */
   std::vector<Packet::FlowKey> flowsToQuery(std::chrono::milliseconds aInterval,
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -132,14 +132,22 @@
     sendBuffer(aAgent);
   }
 
-  /** Queries whether the agent's backend server owns the flow. */
+  /**
+   * Queries whether the agent's backend server owns the flow. With
+   * aWantsUnknownFlowReply the agent replies also if it knows no owner.
+   */
   void sendOwnerQuery(const Core::Endpoint& aAgent,
-                      const Packet::FlowKey& aFlow)
+                      const Packet::FlowKey& aFlow,
+                      bool aWantsUnknownFlowReply)
   {
-    beginMessage(MessageKind::OwnerQuery);
+    beginMessage(MessageKind::OwnerQuery, aWantsUnknownFlowReply);
     OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
     sendBuffer(aAgent);
+    // A reply uses as much of the link in the other direction.
     searchBudget.take(mBuffer.size());
+    if (aWantsUnknownFlowReply) {
+      searchBudget.take(mBuffer.size());
+    }
     counters.increment(SteeringCounter::OwnerQueries);
   }
 
@@ -205,10 +213,11 @@
   /**
    * Starts a message in the buffer with only the fields that all kinds have.
    */
-  void beginMessage(MessageKind aKind)
+  void beginMessage(MessageKind aKind, bool aWantsUnknownFlowReply = false)
   {
     AgentMessage message;
     message.kind = aKind;
+    message.wantsUnknownFlowReply = aWantsUnknownFlowReply;
     message.mapRevision = mapRevision();
     message.sendTime = toSendTime(now);
     mBuffer.clear();
--- a/tests/auto/steering/tst_agentmessage.cpp
+++ b/tests/auto/steering/tst_agentmessage.cpp
@@ -34,6 +34,7 @@
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Forward);
   CHECK(parsed.wantsOwnerNotice);
+  CHECK_FALSE(parsed.wantsUnknownFlowReply);
   CHECK_FALSE(parsed.isLongLived);
   CHECK(parsed.serviceTag == 0xA1B2C3D4);
   CHECK(parsed.slots == 7);
