--- a/tests/auto/platform/storefixture.cpp
+++ b/tests/auto/platform/storefixture.cpp
@@ -17,10 +17,20 @@
 constexpr std::uint32_t kFirstAddress = 0x7F000101;
 constexpr const char* kServiceAddress = "198.18.0.1:443";
 
-/** Ports depend on the process, so that tests may run at the same time. */
+const Steering::Target*
+findTarget(const Steering::FleetMapPointer& aMap, const std::string& aAddress)
+{
+  return aMap == nullptr
+           ? nullptr
+           : aMap->findTarget({ *Core::parseAddress(aAddress), kAgentPort });
+}
+
+} // namespace
+
 Core::Endpoint
 nextControlEndpoint()
 {
+  // Tests may run at the same time.
   constexpr int kFirstPort = 20'000;
   constexpr int kPortPairs = 10'000;
   static std::uint32_t sAddress = kFirstAddress;
@@ -28,8 +38,6 @@
   return { sAddress++, static_cast<std::uint16_t>(port) };
 }
 
-} // namespace
-
 std::string
 configurationText(unsigned aVersion, const std::string& aRouteName)
 {
@@ -123,12 +131,17 @@
 Follower::accepts(const std::string& aAddress) const
 {
   const auto map = fleetMap.current();
-  const auto* target =
-    map == nullptr
-      ? nullptr
-      : map->findTarget({ *Core::parseAddress(aAddress), kAgentPort });
+  const auto* target = findTarget(map, aAddress);
   return target != nullptr &&
          target->acceptsNewFlows(Core::SystemClock().now());
 }
 
+bool
+Follower::servesOpenFlows(const std::string& aAddress) const
+{
+  const auto map = fleetMap.current();
+  const auto* target = findTarget(map, aAddress);
+  return target != nullptr && !target->isRemoved();
+}
+
 } // namespace PlatformTesting
--- a/tests/auto/platform/storefixture.h
+++ b/tests/auto/platform/storefixture.h
@@ -21,6 +21,10 @@
 
 namespace PlatformTesting {
 
+/** A loopback address of its own, with a port that depends on the process. */
+Core::Endpoint
+nextControlEndpoint();
+
 /** A configuration that routes one address to the service "red". */
 std::string
 configurationText(unsigned aVersion, const std::string& aRouteName = "r");
@@ -53,6 +57,9 @@
   std::string routeName() const;
   /** Whether the target at the address gets new flows now. */
   bool accepts(const std::string& aAddress) const;
+  /** Whether the target at the address is announced, at least for open flows.
+   */
+  bool servesOpenFlows(const std::string& aAddress) const;
   std::uint64_t storeCallCount() const { return mWatch.callCount(); }
   const Platform::PeerLink& link() const { return *mLink; }
 
