Platform: Do not restart the time of held back entries at each start

Cause: a process that starts with the copy, and learns from a peer at the same or a lower revision what the copy lacks, merges the peer's removals. It then held back the entry for 10 s from that moment, however long the peer had done so: each start began the time again, and a start after the peer's release did so for an entry that was in use. Merging the answer of a further peer began it again, too.

Change: mergeKnown() gets what the peer holds back, and keeps the times that were known before and what is in use after its time. The 10 s from now are left for a peer that does not say how long: one of an older version, or one that has not noticed the restore.

A process that merges with a peer that has not noticed the restore still holds back for 10 s from its own start, if no peer tells it a shorter time.

--- a/tests/auto/platform/tst_heldback.cpp
+++ b/tests/auto/platform/tst_heldback.cpp
@@ -8,6 +8,8 @@
 #include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
+#include <map>
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -41,16 +43,35 @@
 
 /** A process that saw server b leave, and noticed a restore at aRestoredAt. */
 StoreSnapshot
-holdingSnapshot(Core::TimePoint aRestoredAt)
+holdingSnapshot(Core::TimePoint aRestoredAt,
+                const std::vector<StoreItem>& aCopy = copyOfStore(2),
+                const MapRevision& aRevision = { 2, 15 })
 {
   StoreSnapshot snapshot;
   snapshot.replace(copyOfStore(1), { 1, 20 }, aRestoredAt - 5s);
   snapshot.apply(
     { { kServerB, "", { 1, 21 }, true } }, { 1, 21 }, aRestoredAt - 4s);
-  snapshot.replace(copyOfStore(2), { 2, 15 }, aRestoredAt);
+  snapshot.replace(aCopy, aRevision, aRestoredAt);
   return snapshot;
 }
 
+/** What a process may know before it gets the answer of a peer in era 2. */
+std::map<std::string, StoreSnapshot>
+snapshotsBefore()
+{
+  std::map<std::string, StoreSnapshot> snapshots;
+  snapshots["nothing"] = {};
+  snapshots["the copy"].replace(copyOfStore(2), { 2, 14 }, kStart);
+  auto& running = snapshots["server b runs"];
+  running.replace(copyOfStore(1), { 1, 20 }, kStart);
+  auto& gone = snapshots["server b has left"];
+  gone = running;
+  gone.apply({ { kServerB, "", { 1, 21 }, true } }, { 1, 21 }, kStart);
+  snapshots["a restore that was noticed later"] =
+    holdingSnapshot(kStart + 3s, copyOfStore(2), { 2, 14 });
+  return snapshots;
+}
+
 std::vector<HeldBackItem>
 heldBackItems(const StoreSnapshot& aSnapshot)
 {
@@ -82,6 +103,19 @@
   aSnapshot.addRemoved(aPeer.removedItems(), aNow);
 }
 
+/** Merges what the peer sends. */
+void
+merge(StoreSnapshot& aSnapshot,
+      const StoreSnapshot& aPeer,
+      Core::TimePoint aNow)
+{
+  aSnapshot.mergeKnown(itemsOf(aPeer),
+                       aPeer.removedItems(),
+                       aPeer.revision(),
+                       aNow,
+                       heldBackItems(aPeer));
+}
+
 bool
 isUsed(const StoreSnapshot& aSnapshot)
 {
@@ -150,6 +184,36 @@
   CHECK(clock.now() < releasedAt + kEffectTime);
 }
 
+TEST_CASE("a process that starts with the copy, and learns from a peer that is "
+          "at the same revision, uses a held back entry when the peer does")
+{
+  constexpr std::chrono::milliseconds kRemaining{ 1'500 };
+  Standins::PlatformStore store;
+  store.setEra(2);
+  for (const auto& entry : copyOfStore(2)) {
+    store.put(entry.key, entry.value);
+  }
+  const auto copy = Platform::StoreClient(store.endpoint()).readAll("", 0, 5s);
+  REQUIRE(copy.ok());
+  const Core::SystemClock clock;
+  const auto releasedAt = clock.now() + kRemaining;
+  const auto snapshot = holdingSnapshot(
+    releasedAt - StoreSnapshot::kHoldBackTime, copy->items, copy->revision);
+  REQUIRE(isHeldBack(snapshot));
+  const ServedPeer peer(snapshot);
+  Follower newcomer(store.endpoint(), { peer.endpoint });
+  newcomer.start();
+  REQUIRE(waitFor([&] {
+    const bool isHeld =
+      newcomer.servesOpenFlows("10.0.0.2") && !newcomer.accepts("10.0.0.2");
+    const bool isTooLate = clock.now() >= releasedAt;
+    return isHeld || isTooLate;
+  }));
+  CHECK(waitFor([&] { return newcomer.accepts("10.0.0.2"); }));
+  CHECK(clock.now() >= releasedAt);
+  CHECK(clock.now() < releasedAt + kEffectTime);
+}
+
 TEST_CASE("a peer sends how long it holds an entry back")
 {
   const Core::SystemClock clock;
@@ -221,42 +285,34 @@
 
 TEST_CASE("an entry that a peer holds back is used when the peer uses it")
 {
-  auto peer = holdingSnapshot(kStart);
-  const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
-  const auto now = kStart + 7s;
-  StoreSnapshot snapshot;
-  SUBCASE("by a process that knew nothing") {}
-  SUBCASE("by one that knew the copy")
-  {
-    snapshot.replace(copyOfStore(2), { 2, 14 }, now);
-    REQUIRE(isUsed(snapshot));
-  }
-  SUBCASE("by one that had not seen the server leave")
-  {
-    snapshot.replace(copyOfStore(1), { 1, 20 }, kStart);
-  }
-  SUBCASE("by one that had seen it leave, and notices the restore later")
-  {
-    snapshot.replace(copyOfStore(1), { 1, 20 }, kStart);
-    snapshot.apply({ { kServerB, "", { 1, 21 }, true } }, { 1, 21 }, kStart);
-  }
-  adopt(snapshot, peer, now);
-  CHECK(isHeldBack(snapshot));
-  CHECK(snapshot.isReconciling(now));
-  REQUIRE(snapshot.nextExpiry().has_value());
-  CHECK(*snapshot.nextExpiry() == releasedAt);
-  CHECK_FALSE(snapshot.expire(releasedAt - 1ms));
-  CHECK(isHeldBack(snapshot));
-  SUBCASE("at the same time")
-  {
+  for (const auto& before : snapshotsBefore()) {
+    CAPTURE(before.first);
+    auto peer = holdingSnapshot(kStart);
+    const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
+    const auto now = kStart + 7s;
+    auto snapshot = before.second;
+    adopt(snapshot, peer, now);
+    CHECK(isHeldBack(snapshot));
+    CHECK(snapshot.isReconciling(now));
+    REQUIRE(snapshot.nextExpiry().has_value());
+    CHECK(*snapshot.nextExpiry() == releasedAt);
+    CHECK_FALSE(snapshot.expire(releasedAt - 1ms));
+    CHECK(isHeldBack(snapshot));
     CHECK(snapshot.expire(releasedAt));
     CHECK(peer.expire(releasedAt));
     CHECK(isUsed(snapshot));
     CHECK(isUsed(peer));
     CHECK(snapshot.heldBackItems().empty());
   }
-  SUBCASE("also when the store is read again before")
-  {
+}
+
+TEST_CASE("an entry that a peer holds back stays so when the store is read")
+{
+  for (const auto& before : snapshotsBefore()) {
+    CAPTURE(before.first);
+    const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
+    auto snapshot = before.second;
+    adopt(snapshot, holdingSnapshot(kStart), kStart + 7s);
     CHECK(snapshot.replace(copyOfStore(2), { 2, 15 }, releasedAt - 1ms));
     CHECK(isHeldBack(snapshot));
     CHECK(snapshot.expire(releasedAt));
@@ -264,25 +320,103 @@
     CHECK(snapshot.replace(copyOfStore(2), { 2, 15 }, releasedAt));
     CHECK(isUsed(snapshot));
   }
-  SUBCASE("unless it was written before")
-  {
+}
+
+TEST_CASE("an entry that a peer holds back is used when it is written, and "
+          "forgotten when it is removed")
+{
+  for (const auto& before : snapshotsBefore()) {
+    CAPTURE(before.first);
+    const auto now = kStart + 7s;
+    auto snapshot = before.second;
+    adopt(snapshot, holdingSnapshot(kStart), now);
+    auto other = snapshot;
     CHECK(snapshot.apply(
       { item(kServerB, announcementText("10.0.0.2"), { 2, 16 }) },
       { 2, 16 },
       now));
     CHECK(isUsed(snapshot));
     CHECK_FALSE(snapshot.nextExpiry().has_value());
+    other.apply({ { kServerB, "", { 2, 16 }, true } }, { 2, 16 }, now);
+    CHECK_FALSE(other.expire(now + 1h));
+    CHECK_FALSE(isUsed(other));
+  }
+}
+
+TEST_CASE("a chain of starts does not extend the time for which an entry is "
+          "held back")
+{
+  const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
+  auto last = holdingSnapshot(kStart);
+  for (auto now = kStart + 1s; now < kStart + 30s; now += 1s) {
+    CAPTURE((now - kStart) / 1s);
+    last.expire(now);
+    StoreSnapshot newcomer;
+    adopt(newcomer, last, now);
+    newcomer.expire(now);
+    CHECK(isHeldBack(newcomer) == (now < releasedAt));
+    CHECK(isUsed(newcomer) == (now >= releasedAt));
+    last = newcomer;
+  }
+}
+
+TEST_CASE("what peers knew is merged with the time for which they hold back")
+{
+  const auto now = kStart + 7s;
+  const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
+  const auto holding = holdingSnapshot(kStart);
+  const auto later = holdingSnapshot(kStart + 3s);
+  StoreSnapshot unaware;
+  unaware.replace(copyOfStore(1), { 1, 20 }, kStart);
+  unaware.apply({ { kServerB, "", { 1, 21 }, true } }, { 1, 21 }, kStart);
+  const std::vector<std::vector<StoreSnapshot>> orders{
+    { holding },          { later, holding },   { holding, later },
+    { unaware, holding }, { holding, unaware }, { later, unaware, holding }
+  };
+  for (std::size_t i = 0; i < orders.size(); ++i) {
+    CAPTURE(i);
+    StoreSnapshot snapshot;
+    snapshot.replace(copyOfStore(2), { 2, 15 }, now);
+    REQUIRE(isUsed(snapshot));
+    for (const auto& peer : orders[i]) {
+      merge(snapshot, peer, now);
+    }
+    CHECK(isHeldBack(snapshot));
+    CHECK_FALSE(snapshot.expire(releasedAt - 1ms));
+    CHECK(isHeldBack(snapshot));
+    CHECK(snapshot.expire(releasedAt));
+    CHECK(isUsed(snapshot));
+    merge(snapshot, later, releasedAt);
+    CHECK(isUsed(snapshot));
+    CHECK(snapshot.heldBackItems().empty());
   }
-  SUBCASE("unless the store removed it before")
+}
+
+TEST_CASE("an entry that was written since, or is gone, is not held back "
+          "because a peer that is behind holds it back")
+{
+  const auto now = kStart + 1s;
+  StoreSnapshot snapshot;
+  snapshot.replace(copyOfStore(2), { 2, 15 }, now);
+  SUBCASE("written")
+  {
+    snapshot.apply({ item(kServerB, announcementText("10.0.0.2"), { 2, 16 }) },
+                   { 2, 16 },
+                   now);
+    merge(snapshot, holdingSnapshot(kStart), now);
+    CHECK(isUsed(snapshot));
+  }
+  SUBCASE("gone")
   {
     snapshot.apply({ { kServerB, "", { 2, 16 }, true } }, { 2, 16 }, now);
-    CHECK_FALSE(snapshot.expire(now + 1h));
+    merge(snapshot, holdingSnapshot(kStart), now);
+    snapshot.expire(now + 1h);
     CHECK_FALSE(isUsed(snapshot));
   }
+  CHECK(snapshot.heldBackItems().empty());
 }
 
-TEST_CASE("a chain of starts does not extend the time for which an entry is "
-          "held back")
+TEST_CASE("a chain of starts with the copy does not extend the time either")
 {
   const auto releasedAt = kStart + StoreSnapshot::kHoldBackTime;
   auto last = holdingSnapshot(kStart);
@@ -290,7 +424,8 @@
     CAPTURE((now - kStart) / 1s);
     last.expire(now);
     StoreSnapshot newcomer;
-    adopt(newcomer, last, now);
+    newcomer.replace(copyOfStore(2), { 2, 15 }, now);
+    merge(newcomer, last, now);
     newcomer.expire(now);
     CHECK(isHeldBack(newcomer) == (now < releasedAt));
     CHECK(isUsed(newcomer) == (now >= releasedAt));
