--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -2,12 +2,13 @@
 
 #include "standins/storelog.h"
 
+#include "platform/jsonobject.h"
+
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <httplib.h>
 #include <json/value.h>
-#include <json/writer.h>
 
 #include <algorithm>
 #include <chrono>
@@ -48,14 +49,6 @@
   return object;
 }
 
-std::string
-toText(const Json::Value& aValue)
-{
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, aValue);
-}
-
 } // namespace
 
 class PlatformStore::Private
@@ -160,7 +153,7 @@
       }
       root["items"].append(toJson(item));
     }
-    aResponse.set_content(toText(root), "application/json");
+    aResponse.set_content(Platform::formatJsonObject(root), "application/json");
     finish(aResponse, kHttpOk);
     if (restoreAfterPage) {
       restore(*restoreAfterPage);
@@ -196,7 +189,7 @@
     for (const auto& change : log.changesAfter(after)) {
       root["events"].append(toJson(change));
     }
-    aResponse.set_content(toText(root), "application/json");
+    aResponse.set_content(Platform::formatJsonObject(root), "application/json");
     finish(aResponse, kHttpOk);
   }
 
