Steering: Keep an open flow when a copy of its SYN arrives late

An agent recorded each SYN as unanswered, also one of an open flow, and erased the flow after 60 ms without a SYN-ACK, or when the backend server returned the copy. A full link delays such copies. Since agents answer owner queries from their flow table, a balancer that takes over the flow would learn that it does not exist and could reset it.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -248,8 +248,10 @@
     if (!isLate(aMessage)) {
       mFlows.expectRequest(key, flow, aNow);
     }
-    const auto bytes = aPacket.bytes();
-    mPendingSyns[key] = { aFrom, aNow, Bytes(bytes.begin(), bytes.end()) };
+    if (!flow.isOpen()) {
+      const auto bytes = aPacket.bytes();
+      mPendingSyns[key] = { aFrom, aNow, Bytes(bytes.begin(), bytes.end()) };
+    }
     deliver(aFrom, aPacket);
   }
 
@@ -287,7 +289,7 @@
       return;
     }
     const auto* flow = mFlows.find(query->flow);
-    if (flow != nullptr && flow->isConfirmed && !flow->isEnded) {
+    if (flow != nullptr && flow->isOpen()) {
       sendOwnerNotice(aFrom, query->flow, 0, aNow);
       return;
     }
@@ -523,8 +525,14 @@
   {
     const auto balancer = mLinks.endpointOf(aPacket.returnToken());
     const auto flow = aPacket.flowFromCaller();
-    mQueue.erase(flow);
-    mFlows.erase(flow);
+    const auto* knownFlow = mFlows.find(flow);
+    // A late copy of a SYN says nothing about the open flow.
+    const bool isLateSyn =
+      aPacket.isSyn() && knownFlow != nullptr && knownFlow->isOpen();
+    if (!isLateSyn) {
+      mQueue.erase(flow);
+      mFlows.erase(flow);
+    }
     mPendingSyns.erase(flow);
     if (balancer.isNull()) {
       mCounters.increment(SteeringCounter::PacketsWithoutTarget);
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -46,6 +46,9 @@
    * packets have no effect on the load.
    */
   bool isEnded = false;
+
+  /** The backend server owns the flow, as far as its packets show. */
+  bool isOpen() const { return isConfirmed && !isEnded; }
 };
 
 /**
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -651,3 +651,34 @@
   f.controller.tick(f.now);
   CHECK(f.controller.inProgress() == 0);
 }
+
+TEST_CASE("an open flow stays known when a copy of its SYN arrives late")
+{
+  Fixture f;
+  f.now += Steering::TargetFlowTable::kIdleTimeout;
+  f.startRequest(1);
+  f.sendAnswer(1);
+  f.forward(Fixture::synPacket(1));
+  SUBCASE("and the backend server ignores it") {}
+  SUBCASE("and the backend server acknowledges it without SYN")
+  {
+    Test::PacketFields fields;
+    fields.flow = Test::flowOf(1);
+    fields.isFromTarget = true;
+    f.controller.handleTargetPacket(Test::encode(fields), f.now);
+  }
+  SUBCASE("and the backend server returns it")
+  {
+    f.returnLastPacket();
+  }
+  f.now += 60ms;
+  f.controller.tick(f.now);
+  AgentMessage message;
+  message.kind = MessageKind::OwnerQuery;
+  message.wantsUnknownFlowReply = true;
+  Bytes bytes;
+  message.appendTo(bytes);
+  Steering::OwnerNotice{ Test::flowOf(1), 0 }.appendTo(bytes);
+  f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
+  CHECK(f.output.toBalancers.back().message.kind == MessageKind::OwnerNotice);
+}
