Steering: Continue searches in the order in which they began

Now a search is evaluated when an agent replied or a new pass begins. - Replies were counted, so late replies of one pass could end the next one. Now the agents whose reply is missing are recorded. - The second rejection of a packet that was sent twice went on to the next agent as if it were another packet. - An isolated balancer checked its timers every 10 ms, though it probes every 250 ms.

--- a/src/libs/steering/flowcache.cpp
+++ b/src/libs/steering/flowcache.cpp
@@ -18,6 +18,15 @@
   }
 }
 
+void
+AgentSet::remove(const Core::Endpoint& aAgent)
+{
+  const auto it = std::find(mAgents.begin(), mAgents.end(), aAgent);
+  if (it != mAgents.end()) {
+    mAgents.erase(it);
+  }
+}
+
 CachedFlow*
 FlowCache::find(const Packet::FlowKey& aFlow)
 {
--- a/src/libs/steering/flowcache.h
+++ b/src/libs/steering/flowcache.h
@@ -27,8 +27,10 @@
 public:
   bool contains(const Core::Endpoint& aAgent) const;
   void add(const Core::Endpoint& aAgent);
+  void remove(const Core::Endpoint& aAgent);
   void clear() { mAgents.clear(); }
   std::size_t size() const { return mAgents.size(); }
+  bool isEmpty() const { return mAgents.empty(); }
 
 private:
   absl::InlinedVector<Core::Endpoint, 2> mAgents;
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -168,7 +168,7 @@
       return placementTime;
     }
     if (mContext.replies.isEvidenceMissing()) {
-      return kEvidenceProbeInterval;
+      return evidenceProbeInterval(mContext.now);
     }
     if (mContext.loads.overdueCount() > 0) {
       return AgentLoadTable::kProbeInterval;
@@ -179,28 +179,31 @@
   /** Whether no agent replies to this balancer. */
   bool isIsolated(Core::TimePoint aNow) const
   {
-    return mContext.map != nullptr && isEvidenceMissingFor(aNow) &&
+    return mContext.map != nullptr && isUnanswered(aNow) &&
            mContext.loads.recentlySeenCount(kIsolationTimeout, aNow) == 0;
   }
 
 private:
   using PacketType = typename Format::Packet;
 
-  /** Whether no agent has replied to anything for kIsolationTimeout. */
-  bool isEvidenceMissingFor(Core::TimePoint aNow) const
+  /** Whether no message was answered for kIsolationTimeout. */
+  bool isUnanswered(Core::TimePoint aNow) const
   {
     return mContext.replies.isEvidenceMissing() &&
            aNow - mContext.replies.evidenceMissingSince() >= kIsolationTimeout;
   }
 
+  std::chrono::milliseconds evidenceProbeInterval(Core::TimePoint aNow) const
+  {
+    return isUnanswered(aNow) ? AgentLoadTable::kProbeInterval
+                              : kEvidenceProbeInterval;
+  }
+
   /** Probes the next agent if isOverdue() of the replies cannot decide. */
   void probeForEvidence(Core::TimePoint aNow)
   {
-    const auto interval = isEvidenceMissingFor(aNow)
-                            ? AgentLoadTable::kProbeInterval
-                            : kEvidenceProbeInterval;
     if (mContext.map == nullptr || !mContext.replies.isEvidenceMissing() ||
-        aNow - mLastEvidenceProbeAt < interval) {
+        aNow - mLastEvidenceProbeAt < evidenceProbeInterval(aNow)) {
       return;
     }
     const auto* agent = nextAgent(aNow);
--- a/src/libs/steering/linkbudget.h
+++ b/src/libs/steering/linkbudget.h
@@ -30,7 +30,7 @@
 
   /** Whether a message may be sent now. */
   bool isAvailable(Core::TimePoint aNow);
-  /** Takes a message of aBytes; the budget may be exceeded by one message. */
+  /** Takes a message of aBytes, also if it exceeds the budget. */
   void take(std::size_t aBytes);
 
 private:
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -104,20 +104,18 @@
     auto& cachedFlow = mContext.flowCache.findOrInsert(aFlow, aNow);
     cachedFlow.isEstablished = true;
     cachedFlow.rejectedBy.add(aFrom);
-    const bool isOwnedElsewhere =
-      !cachedFlow.agent.isNull() && cachedFlow.agent != aFrom;
-    if (isOwnedElsewhere) {
-      mContext.forward(aPacket, aRoute, cachedFlow);
-      return;
-    }
     cachedFlow.excludedAgents.add(aFrom);
     auto* search = mSearches.find(aFlow);
-    if (search == nullptr) {
-      startSearch(aPacket, aFlow, aRoute, cachedFlow, aNow);
-    } else if (search->isForwarded()) {
-      forwardToNextAgent(aPacket, aFlow, aRoute, cachedFlow, aNow);
+    if (search != nullptr) {
+      if (cachedFlow.agent == aFrom) {
+        forwardFirstPacket(aFlow, aRoute, cachedFlow, aNow);
+      } else if (!search->isFirstPacket(aPacket.bytes())) {
+        PendingSearches::bufferPacket(*search, aPacket.bytes());
+      }
+    } else if (!cachedFlow.agent.isNull() && cachedFlow.agent != aFrom) {
+      mContext.forward(aPacket, aRoute, cachedFlow);
     } else {
-      PendingSearches::bufferPacket(*search, aPacket.bytes());
+      startSearch(aPacket, aFlow, aRoute, cachedFlow, aNow);
     }
   }
 
@@ -134,9 +132,8 @@
     if (search == nullptr || cachedFlow == nullptr) {
       return;
     }
-    if (search->unansweredQueries > 0) {
-      --search->unansweredQueries;
-    }
+    search->awaitedAgents.remove(aFrom);
+    search->hasNews = true;
     if (aIsCertain) {
       cachedFlow->excludedAgents.add(aFrom);
       cachedFlow->rejectedBy.add(aFrom);
@@ -226,12 +223,10 @@
       });
     }
     sendDueQueries(aNow);
-    for (const auto& flow : mSearches.unforwardedFlows(kForwardDelay, aNow)) {
+    for (const auto& flow : mSearches.continuableFlows(kForwardDelay, aNow)) {
       updateSearch(flow, [&](const auto& aRoute, auto& aCachedFlow) {
-        const auto startedAt = mSearches.find(flow)->startedAt;
-        if (mContext.replies.isOverdue(startedAt, kForwardDelay, aNow)) {
-          forwardFirstPacket(flow, aRoute, aCachedFlow, aNow);
-        }
+        mSearches.find(flow)->hasNews = false;
+        forwardFirstPacket(flow, aRoute, aCachedFlow, aNow);
       });
     }
     for (const auto& flow :
@@ -303,8 +298,7 @@
 
   /**
    * Queries the next agents in search order for the owner. Each round more than
-   * doubles the number of queried agents. No-op if the budget is spent; tick()
-   * repeats it.
+   * doubles the number of queried agents.
    */
   void queryMoreAgents(const Packet::FlowKey& aFlow,
                        const Route& aRoute,
@@ -312,9 +306,6 @@
                        PendingSearch& aSearch,
                        Core::TimePoint aNow)
   {
-    if (!mContext.searchBudget.isAvailable(aNow)) {
-      return;
-    }
     const auto order =
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
     const auto end =
@@ -331,7 +322,7 @@
       mContext.sendOwnerQuery(agent, aFlow, aSearch.areRepliesRequested);
       if (aSearch.areRepliesRequested) {
         mContext.loads.expectReply(agent, aNow);
-        ++aSearch.unansweredQueries;
+        aSearch.awaitedAgents.add(agent);
       }
     }
     aSearch.queriedCount = std::max(aSearch.queriedCount, end);
@@ -339,7 +330,11 @@
     aSearch.lastQueryAt = aNow;
   }
 
-  /** Sends the queries that are due, for the longest waiting flows first. */
+  /**
+   * Sends the queries that are due, for the longest searched flows first. Only
+   * the first round of a flow does not wait for the budget: most owners are
+   * found by it.
+   */
   void sendDueQueries(Core::TimePoint aNow)
   {
     for (const auto& flow : mSearches.flowsToQuery(kQueryInterval, aNow)) {
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -1,7 +1,6 @@
 #include "steering/pendingsearches.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace Steering {
@@ -71,13 +70,11 @@
       searches.emplace_back(flow, &search);
     }
   }
-  std::sort(
-    searches.begin(),
-    searches.end(),
-    [](const Entry& aLeft, const Entry& aRight) {
-      return std::tie(aLeft.second->passCount, aLeft.second->lastQueryAt) <
-             std::tie(aRight.second->passCount, aRight.second->lastQueryAt);
-    });
+  std::sort(searches.begin(),
+            searches.end(),
+            [](const Entry& aLeft, const Entry& aRight) {
+              return aLeft.second->startedAt < aRight.second->startedAt;
+            });
   std::vector<Packet::FlowKey> flows;
   flows.reserve(searches.size());
   for (const auto& [flow, search] : searches) {
@@ -87,12 +84,12 @@
 }
 
 std::vector<Packet::FlowKey>
-PendingSearches::unforwardedFlows(std::chrono::milliseconds aDelay,
+PendingSearches::continuableFlows(std::chrono::milliseconds aDelay,
                                   Core::TimePoint aNow) const
 {
   return collect([&](const PendingSearch& aSearch) {
-    return !aSearch.isExhausted() && !aSearch.isForwarded() &&
-           aNow - aSearch.startedAt >= aDelay;
+    return aSearch.hasNews && !aSearch.isExhausted() &&
+           !aSearch.isForwarded() && aNow - aSearch.startedAt >= aDelay;
   });
 }
 
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -40,8 +40,10 @@
   std::size_t queriedCount = 0;
   /** Whether the agents of the last round reply if they know no owner. */
   bool areRepliesRequested = false;
-  /** How many queries of this pass whose replies are requested have none. */
-  std::size_t unansweredQueries = 0;
+  /** Agents of this pass whose requested reply has not arrived. */
+  AgentSet awaitedAgents;
+  /** The search may continue: an agent replied or a new pass began. */
+  bool hasNews = false;
   Core::TimePoint lastQueryAt{};
   bool areAllQueried = false;
   /** How often all agents have been queried that did not reply. */
@@ -59,7 +61,11 @@
   /** Each agent of the last round has replied. */
   bool isAnswered() const
   {
-    return areRepliesRequested && unansweredQueries == 0;
+    return areRepliesRequested && awaitedAgents.isEmpty();
+  }
+  bool isFirstPacket(absl::Span<const std::uint8_t> aPacket) const
+  {
+    return !packets.empty() && absl::MakeConstSpan(packets.front()) == aPacket;
   }
   bool isForwarded() const { return forwardedAt != Core::TimePoint{}; }
   void recordForward(Core::TimePoint aNow)
@@ -72,8 +78,9 @@
   {
     ++passCount;
     queriedCount = 0;
-    unansweredQueries = 0;
+    awaitedAgents.clear();
     areAllQueried = false;
+    hasNews = true;
   }
   /** Starts again with the same packets. */
   void restart()
@@ -116,17 +123,16 @@
   std::size_t size() const { return mSearches.size(); }
 
   /**
-   * Flows that were not queried yet, or whose last queries are all answered or
-   * at least aInterval old: those with the fewest passes first, then by the
-   * time of these queries.
+   * Flows whose last queries are all answered or at least aInterval old, or
+   * that were not queried yet; the longest searched ones first.
    */
   std::vector<Packet::FlowKey> flowsToQuery(std::chrono::milliseconds aInterval,
                                             Core::TimePoint aNow) const;
   /**
-   * Flows whose search started at least aDelay ago and whose packets were not
-   * sent to any agent yet.
+   * Flows whose search started at least aDelay ago and has news, and whose
+   * first packet is not at an agent now.
    */
-  std::vector<Packet::FlowKey> unforwardedFlows(
+  std::vector<Packet::FlowKey> continuableFlows(
     std::chrono::milliseconds aDelay,
     Core::TimePoint aNow) const;
   /**
