Membership: Count the time that a message waited unread as its age

Cause: a process that was late for less than kSleepLimit (1.2 s) took the confirmations that waited in its socket for fresh ones. Its map counted as confirmed, and as current, for up to 1.15 s longer than its readers knew. A map that counts as current lets a balancer reset a flow of an unknown owner, so this is the direction that breaks a promise and not only costs calls.

Change: when a tick is overdue, what is read then counts as received when the tick was due. An error of one kInterval remains: when within an interval the process began to be late is not known.

Ruled out: kSleepLimit does not cover it, since it begins at 1.2 s. Ageing each message by the time since the last read would make each confirmation 0.4 s older in normal operation, which costs calls.

--- a/src/libs/membership/mapfollowing.cpp
+++ b/src/libs/membership/mapfollowing.cpp
@@ -32,7 +32,8 @@
     }
   } else if (!mHasSlept && aMessage.revision == mRevision &&
              aMessage.confirmedAge < MemberMessage::kMaxAge) {
-    mConfirmedAt = std::max(mConfirmedAt, aNow - aMessage.confirmedAge);
+    mConfirmedAt =
+      std::max(mConfirmedAt, arrivalTime(aNow) - aMessage.confirmedAge);
   }
   if (!wasConfirmed && isConfirmed(aNow)) {
     return announce(aNow);
@@ -122,6 +123,16 @@
   }
 }
 
+/**
+ * When a message that is read now may have arrived. If a tick is overdue, this
+ * process was late, and the message may have waited for it since then.
+ */
+Core::TimePoint
+MapFollowing::arrivalTime(Core::TimePoint aNow) const
+{
+  return std::min(aNow, mLastTickAt + kInterval);
+}
+
 NextMapStep
 MapFollowing::nextStep(Core::TimePoint aNow) const
 {
--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -110,6 +110,7 @@
   };
 
   void detectSleep(Core::TimePoint aNow);
+  Core::TimePoint arrivalTime(Core::TimePoint aNow) const;
   /** A call waits for the next change, and the one before was answered. */
   bool isStoreWatched() const { return mIsCallingStore && mHasStoreAnswered; }
   MemberMessage createMessage(Core::TimePoint aNow) const;
