Membership: Give a stopping process a source when its whole zone stops

Cause: a process that stops is left out of the rank of its zone. When every process of a zone stops within the 4.8 s that each still runs, none of them is a reader and none has anybody to follow. Each then waited until its map had not been confirmed for 1.2 s, and 0.1 s more a rank, before each call of the store, while it still carried flows.

Change: such a process follows the first reader of another zone. If no process of any zone stays, it reads the store itself.

The simulation now pauses 400 ms after an answer with changes and after a fetch, as StoreWatch does, and a fetch takes its time and fails after 300 ms if the peer is silent. All earlier cases pass with that, unchanged.

A call for a stopping process replaces waiting for it.

--- a/src/libs/membership/mapfollowing.cpp
+++ b/src/libs/membership/mapfollowing.cpp
@@ -229,7 +229,8 @@
     return true;
   }
   const bool isJoining = aNow - mStartedAt < kJoinTime;
-  if (isJoining || !mMembers.isReader()) {
+  const bool hasSource = !mMembers.subscriptions().empty();
+  if (isJoining || (!mMembers.isReader() && hasSource)) {
     return confirmedAge(aNow) >= patience();
   }
   const bool hasFailed = mStoreFailedAt != Core::TimePoint{};
--- a/src/libs/membership/membertable.cpp
+++ b/src/libs/membership/membertable.cpp
@@ -184,16 +184,14 @@
 
 std::vector<Address>
 MemberTable::subscriptions() const
+{
+  return isReader() ? otherReaders() : followed();
+}
+
+std::vector<Address>
+MemberTable::otherReaders() const
 {
   const auto readerCount = readersPerZone();
-  const auto ownRank = rank();
-  if (!isReader()) {
-    const auto& zoneMembers = ranked(mZoneTag);
-    const auto index =
-      ownRank < readerCount ? 0 : (ownRank - readerCount) / kFanOut;
-    return index < zoneMembers.size() ? std::vector{ zoneMembers[index] }
-                                      : std::vector<Address>{};
-  }
   std::vector<Address> readers;
   for (const auto& [zone, addresses] : mRanked) {
     for (std::size_t i = 0; i < std::min(readerCount, addresses.size()); ++i) {
@@ -205,6 +203,26 @@
   return readers;
 }
 
+std::vector<Address>
+MemberTable::followed() const
+{
+  const auto readerCount = readersPerZone();
+  const auto ownRank = rank();
+  const auto& zoneMembers = ranked(mZoneTag);
+  const auto index =
+    ownRank < readerCount ? 0 : (ownRank - readerCount) / kFanOut;
+  if (index < zoneMembers.size()) {
+    return { zoneMembers[index] };
+  }
+  // This process stops, and so does the rest of its zone.
+  for (const auto& [zone, addresses] : mRanked) {
+    if (!addresses.empty()) {
+      return { addresses.front() };
+    }
+  }
+  return {};
+}
+
 std::vector<Address>
 MemberTable::subscribers() const
 {
--- a/src/libs/membership/membertable.h
+++ b/src/libs/membership/membertable.h
@@ -101,6 +101,9 @@
                   std::size_t aCount,
                   Core::TimePoint aNow);
   std::size_t readersPerZone() const;
+  std::vector<Address> otherReaders() const;
+  /** The member that this process follows; empty if there is none. */
+  std::vector<Address> followed() const;
   void suspectSilentSubscriptions(Core::TimePoint aNow);
 
   Address mSelf;
--- a/tests/auto/membership/mapdistribution.cpp
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -18,7 +18,10 @@
 constexpr std::chrono::milliseconds kWatchWaitTime{ 20'000 };
 /** Time in which keep-alive probes detect a silent connection. */
 constexpr std::chrono::milliseconds kKeepAliveTime{ 3'000 };
-constexpr std::chrono::milliseconds kFetchTimeout{ 150 };
+constexpr std::chrono::milliseconds kFetchTimeout{ 300 };
+constexpr std::chrono::milliseconds kStoreTimeout{ 150 };
+/** Pause after an answer with changes, of the store or of a peer. */
+constexpr std::chrono::milliseconds kWatchDelay{ 400 };
 constexpr std::chrono::milliseconds kShortWaitTime{ 100 };
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 constexpr std::chrono::milliseconds kStartSpread{ 300 };
@@ -48,6 +51,8 @@
   bool isCutFromStore = false;
   bool isCutFromPeers = false;
   bool isCallingStore = false;
+  bool isFetching = false;
+  Core::TimePoint pausedUntil{};
   std::uint64_t storeCall = 0;
   /** What arrived while it was suspended. */
   std::vector<std::function<void(Process&)>> pending;
@@ -84,6 +89,7 @@
 MapDistribution::change()
 {
   ++mChange;
+  mChangeTimes.push_back(mNow);
   for (std::size_t i = 0; i < mProcesses.size(); ++i) {
     if (mProcesses[i]->isCallingStore && !mProcesses[i]->isCutFromStore) {
       const auto call = mProcesses[i]->storeCall;
@@ -135,6 +141,23 @@
   return processes;
 }
 
+bool
+MapDistribution::isRunning(std::size_t aProcess) const
+{
+  return mProcesses[aProcess]->following != nullptr;
+}
+
+std::chrono::milliseconds
+MapDistribution::lag(std::size_t aProcess) const
+{
+  const auto known = mProcesses[aProcess]->knownChange;
+  if (!isRunning(aProcess) || known == 0 || known == mChange) {
+    return 0ms;
+  }
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    mNow - mChangeTimes[known - 1]);
+}
+
 std::size_t
 MapDistribution::zoneOf(std::size_t aProcess) const
 {
@@ -148,9 +171,20 @@
   process.following.reset();
   process.pending.clear();
   process.isCallingStore = false;
+  process.isFetching = false;
+  process.pausedUntil = {};
   ++process.incarnation;
 }
 
+void
+MapDistribution::terminate(std::size_t aProcess,
+                           std::chrono::milliseconds aRunTime)
+{
+  send(aProcess, mProcesses[aProcess]->following->leave(mNow));
+  scheduleAt(
+    aProcess, aRunTime, [this, aProcess](Process&) { kill(aProcess); });
+}
+
 void
 MapDistribution::start(std::size_t aProcess)
 {
@@ -285,6 +319,9 @@
     process.isCallingStore = false;
     process.following->cancelStoreCall();
   }
+  if (process.isFetching || mNow < process.pausedUntil) {
+    return;
+  }
   const auto next = process.following->nextStep(mNow);
   if (next.step == MapStep::CallStore && process.knownChange != 0) {
     callStore(aProcess);
@@ -308,7 +345,7 @@
     duration = kShortWaitTime;
   }
   if (process.isCutFromStore) {
-    duration = kFetchTimeout;
+    duration = kStoreTimeout;
   }
   scheduleAt(aProcess, duration, [this, aProcess, call](Process& aTarget) {
     if (aTarget.isCallingStore && aTarget.storeCall == call) {
@@ -324,8 +361,10 @@
   process.isCallingStore = false;
   process.following->endStoreCall(aIsAnswered, mNow);
   if (aIsAnswered) {
+    const bool hasChanged =
+      process.knownChange != 0 && process.knownChange < mChange;
     learn(aProcess, mChange);
-    runStep(aProcess);
+    hasChanged ? pauseSteps(aProcess) : runStep(aProcess);
   } else {
     scheduleAt(aProcess, kRetryDelay, [this, aProcess](Process& aTarget) {
       if (!aTarget.isCallingStore) {
@@ -338,20 +377,40 @@
 void
 MapDistribution::fetch(std::size_t aProcess, std::size_t aPeer)
 {
+  mProcesses[aProcess]->isFetching = true;
   const auto& peer = *mProcesses[aPeer];
-  const bool isAnswered = peer.following != nullptr && !peer.isSuspended &&
-                          !peer.isCutFromPeers &&
-                          !mProcesses[aProcess]->isCutFromPeers;
-  mProcesses[aProcess]->following->endFetch(addressOf(aPeer), isAnswered);
-  if (!isAnswered) {
-    return;
-  }
-  const auto delay = 4 * delayBetween(aProcess, aPeer);
-  scheduleAt(aProcess,
-             delay,
-             [this, aProcess, known = peer.knownChange](Process& /*aTarget*/) {
-               learn(aProcess, known);
-             });
+  const bool isSilent = peer.isSuspended || peer.isCutFromPeers ||
+                        mProcesses[aProcess]->isCutFromPeers;
+  const bool isAnswered = peer.following != nullptr && !isSilent;
+  const auto delay =
+    isSilent ? kFetchTimeout : 4 * delayBetween(aProcess, aPeer);
+  scheduleAt(
+    aProcess, delay, [=, this, known = peer.knownChange](Process& /*aTarget*/) {
+      if (isAnswered) {
+        learn(aProcess, known);
+      }
+      endFetch(aProcess, aPeer, isAnswered);
+    });
+}
+
+void
+MapDistribution::endFetch(std::size_t aProcess,
+                          std::size_t aPeer,
+                          bool aIsAnswered)
+{
+  auto& process = *mProcesses[aProcess];
+  process.isFetching = false;
+  process.following->endFetch(addressOf(aPeer), aIsAnswered);
+  pauseSteps(aProcess);
+}
+
+void
+MapDistribution::pauseSteps(std::size_t aProcess)
+{
+  mProcesses[aProcess]->pausedUntil = mNow + kWatchDelay;
+  scheduleAt(aProcess, kWatchDelay, [this, aProcess](Process& /*aTarget*/) {
+    runStep(aProcess);
+  });
 }
 
 void
--- a/tests/auto/membership/mapdistribution.h
+++ b/tests/auto/membership/mapdistribution.h
@@ -46,9 +46,14 @@
   std::uint64_t knownChange(std::size_t aProcess) const;
   /** Running processes that do not have the last change. */
   std::vector<std::size_t> outdated() const;
+  bool isRunning(std::size_t aProcess) const;
+  /** Age of the oldest change that a running process with a map lacks. */
+  std::chrono::milliseconds lag(std::size_t aProcess) const;
   std::size_t zoneOf(std::size_t aProcess) const;
 
   void kill(std::size_t aProcess);
+  /** SIGTERM: the process runs on, and ends after aRunTime. */
+  void terminate(std::size_t aProcess, std::chrono::milliseconds aRunTime);
   void start(std::size_t aProcess);
   /** A stopped process keeps its state and gets what arrived meanwhile. */
   void suspend(std::size_t aProcess);
@@ -83,6 +88,9 @@
   void callStore(std::size_t aProcess);
   void endStoreCall(std::size_t aProcess, bool aIsAnswered);
   void fetch(std::size_t aProcess, std::size_t aPeer);
+  void endFetch(std::size_t aProcess, std::size_t aPeer, bool aIsAnswered);
+  /** The thread that follows the store does nothing for a time. */
+  void pauseSteps(std::size_t aProcess);
   void learn(std::size_t aProcess, std::uint64_t aChange);
   std::chrono::milliseconds delayBetween(std::size_t aFrom,
                                          std::size_t aTo) const;
@@ -94,6 +102,8 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> mEvents;
   std::vector<std::unique_ptr<Process>> mProcesses;
   std::uint64_t mChange = 1;
+  /** When each change was published, from the second on. */
+  std::vector<Core::TimePoint> mChangeTimes;
   std::size_t mStoreCallCount = 0;
   std::size_t mDatagramCount = 0;
   std::size_t mDatagramBytes = 0;
--- a/tests/auto/membership/tst_mapdistribution.cpp
+++ b/tests/auto/membership/tst_mapdistribution.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -36,6 +39,67 @@
   return readers;
 }
 
+/**
+ * Terminates every process, one after the other, and starts each again when it
+ * has ended.
+ */
+class TerminationSeries
+{
+public:
+  TerminationSeries(std::chrono::milliseconds aFirst,
+                    std::chrono::milliseconds aGap,
+                    std::chrono::milliseconds aRunTime)
+    : mFirst(aFirst)
+    , mGap(aGap)
+    , mRunTime(aRunTime)
+  {
+  }
+
+  void apply(MapDistribution& aFleet, std::chrono::milliseconds aElapsed) const
+  {
+    for (std::size_t i = 0; i < aFleet.processCount(); ++i) {
+      const auto at = mFirst + mGap * i;
+      if (aElapsed == at && aFleet.isRunning(i)) {
+        aFleet.terminate(i, mRunTime);
+      }
+      if (aElapsed == at + mRunTime + 500ms && !aFleet.isRunning(i)) {
+        aFleet.start(i);
+      }
+    }
+  }
+
+private:
+  std::chrono::milliseconds mFirst;
+  std::chrono::milliseconds mGap;
+  std::chrono::milliseconds mRunTime;
+};
+
+/** The greatest lag of a process while changes follow each other. */
+std::chrono::milliseconds
+greatestLag(MapDistribution& aFleet,
+            const std::vector<TerminationSeries>& aSeries,
+            unsigned aSeed)
+{
+  constexpr std::chrono::milliseconds kDuration{ 20'000 };
+  std::mt19937 random(aSeed);
+  auto greatest = 0ms;
+  auto nextChange = 0ms;
+  for (auto elapsed = 0ms; elapsed < kDuration; elapsed += 10ms) {
+    for (const auto& series : aSeries) {
+      series.apply(aFleet, elapsed);
+    }
+    if (elapsed >= nextChange) {
+      aFleet.change();
+      nextChange = elapsed + 300ms + 10ms * (random() % 30);
+    }
+    aFleet.advance(10ms);
+    for (std::size_t i = 0; i < aFleet.processCount(); ++i) {
+      greatest = std::max(greatest, aFleet.lag(i));
+    }
+  }
+  return greatest;
+}
+
 } // namespace
 
 TEST_CASE("a few processes of each zone read the store for the whole fleet")
@@ -168,3 +232,36 @@
     CHECK(distributionTime(fleet) < kLimit / 2);
   }
 }
+
+TEST_CASE("processes that run on after SIGTERM get changes in time while all "
+          "others of their zone stop too")
+{
+  std::size_t callCount = 0;
+  std::size_t runCount = 0;
+  auto greatest = 0ms;
+  for (const auto gap : { 100ms, 260ms, 660ms }) {
+    for (const auto second : { 0ms, 1'000ms, 3'000ms, 6'000ms }) {
+      for (unsigned seed = 1; seed <= 5; ++seed) {
+        CAPTURE(gap.count());
+        CAPTURE(second.count());
+        CAPTURE(seed);
+        constexpr auto kRunTime = 4'800ms;
+        MapDistribution fleet({ 16, 4, 0.01, seed });
+        fleet.advance(10s);
+        const auto callsBefore = fleet.storeCallCount();
+        const TerminationSeries firstSeries(0ms, gap, kRunTime);
+        const TerminationSeries secondSeries(second, 260ms, kRunTime);
+        const auto lag =
+          greatestLag(fleet, { firstSeries, secondSeries }, seed);
+        CHECK(lag < kLimit / 2);
+        greatest = std::max(greatest, lag);
+        ++runCount;
+        callCount += fleet.storeCallCount() - callsBefore;
+      }
+    }
+  }
+  MESSAGE("greatest lag: ",
+          greatest.count(),
+          " ms; calls of the store in a run of 20 s: ",
+          callCount / runCount);
+}
