Membership: Keep what peers announce while a map is fetched

Cause: the end of a fetch deleted the notice of a newer map, also one that arrived during the fetch or while the fetched map was decoded, which takes long on a small machine with many routes. The process heard of that change again with the peer's next message, up to 400 ms later.

Change: a fetch deletes the notice that it acts on when it begins. A fetch that fails deletes a notice of that peer only.

Ruled out: keeping at the end what is newer than the process's own map. A peer whose answer can't be used would then be asked again and again, and the store would not be called.

--- a/src/libs/membership/mapfollowing.cpp
+++ b/src/libs/membership/mapfollowing.cpp
@@ -106,10 +106,13 @@
 void
 MapFollowing::endFetch(Address aPeer, bool aIsAnswered)
 {
-  if (!aIsAnswered) {
-    mMembers.suspect(aPeer);
+  if (aIsAnswered) {
+    return;
+  }
+  mMembers.suspect(aPeer);
+  if (mNotice && mNotice->peer == aPeer) {
+    mNotice.reset();
   }
-  mNotice.reset();
 }
 
 void
--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -90,7 +90,8 @@
   void endStoreCall(bool aIsAnswered, Core::TimePoint aNow);
   /** The call was given up, which says nothing about the store. */
   void cancelStoreCall();
-  /** The fetch from a peer ended. */
+  /** Messages that arrive from now on may announce a newer map. */
+  void beginFetch() { mNotice.reset(); }
   void endFetch(Address aPeer, bool aIsAnswered);
 
   NextMapStep nextStep(Core::TimePoint aNow) const;
--- a/tests/auto/membership/mapdistribution.cpp
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -378,6 +378,7 @@
 MapDistribution::fetch(std::size_t aProcess, std::size_t aPeer)
 {
   mProcesses[aProcess]->isFetching = true;
+  mProcesses[aProcess]->following->beginFetch();
   const auto& peer = *mProcesses[aPeer];
   const bool isSilent = peer.isSuspended || peer.isCutFromPeers ||
                         mProcesses[aProcess]->isCutFromPeers;
--- a/tests/auto/membership/tst_mapfollowing.cpp
+++ b/tests/auto/membership/tst_mapfollowing.cpp
@@ -48,11 +48,11 @@
   }
 
   /** The readers' call waits for the store, which has nothing newer. */
-  void hearReaders()
+  void hearReaders(const Steering::MapRevision& aRevision = kRevision)
   {
     MemberMessage message;
     message.zoneTag = kZone;
-    message.revision = kRevision;
+    message.revision = aRevision;
     message.confirmedAge = 0ms;
     for (Address address = 1; address <= kMemberCount; ++address) {
       if (address != follower()) {
@@ -110,3 +110,31 @@
   CHECK(f.following.nextStep(f.now + patience - 1ms).step == MapStep::Wait);
   CHECK(f.following.nextStep(f.now + patience).step == MapStep::CallStore);
 }
+
+TEST_CASE("a change that is announced during a fetch is fetched next")
+{
+  Fixture f;
+  f.hearReaders({ 1, 8 });
+  REQUIRE(f.following.nextStep(f.now).step == MapStep::FetchFromPeer);
+  const auto peer = f.following.nextStep(f.now).peer;
+  f.following.beginFetch();
+  f.now += 5ms;
+  f.following.setRevision({ 1, 8 }, f.now);
+  SUBCASE("and the fetch was answered before")
+  {
+    f.hearReaders({ 1, 9 });
+    f.following.endFetch(peer, true);
+    CHECK(f.following.nextStep(f.now).step == MapStep::FetchFromPeer);
+  }
+  SUBCASE("unless the fetch had no answer")
+  {
+    f.hearReaders({ 1, 9 });
+    f.following.endFetch(peer, false);
+    CHECK(f.following.nextStep(f.now).step == MapStep::Wait);
+  }
+  SUBCASE("and nothing is fetched if there was none")
+  {
+    f.following.endFetch(peer, true);
+    CHECK(f.following.nextStep(f.now).step == MapStep::Wait);
+  }
+}
