--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -99,6 +99,11 @@
   bool shouldEndStoreCall(Core::TimePoint aNow) const;
   /** Whether the next call of the store should be answered without a wait. */
   bool needsStoreAnswer() const { return mHasSlept; }
+  /** When the store was last known to have no newer map. */
+  Core::TimePoint confirmedAt(Core::TimePoint aNow) const
+  {
+    return aNow - confirmedAge(aNow);
+  }
   /** Whether the store was known to have no newer map a short time ago. */
   bool isCurrent(Core::TimePoint aNow) const;
 
--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -158,6 +158,37 @@
   CHECK(f.follower.accepts("10.0.0.1"));
 }
 
+TEST_CASE("after a restore a missing backend server stays in use while the "
+          "store cannot tell whether it announced itself again")
+{
+  Fixture f;
+  f.startFollower();
+  f.store.put("servers/c", announcementText("10.0.0.3"));
+  REQUIRE(waitFor([&] { return f.follower.accepts("10.0.0.3"); }));
+  const auto start = clockNow();
+  f.store.restore(1);
+  REQUIRE(waitFor(
+    [&] { return f.follower.fleetMap.current()->revision().era == 2; }));
+  f.store.setAvailable(false);
+  const bool isTooLate = clockNow() - start > 2s;
+  std::this_thread::sleep_for(Platform::StoreSnapshot::kReannounceTime + 3s);
+  CHECK((f.follower.accepts("10.0.0.3") || isTooLate));
+  SUBCASE("and longer if it did")
+  {
+    f.store.put("servers/c", announcementText("10.0.0.3"));
+    f.store.setAvailable(true);
+    f.putConfiguration(2);
+    std::this_thread::sleep_for(1s);
+    CHECK(f.follower.accepts("10.0.0.3"));
+  }
+  SUBCASE("and no longer if it did not")
+  {
+    f.store.setAvailable(true);
+    CHECK(waitFor([&] { return !f.follower.accepts("10.0.0.3"); }));
+  }
+  CHECK(f.follower.accepts("10.0.0.1"));
+}
+
 TEST_CASE("after a restore a draining backend server gets no new work")
 {
   Fixture f;
