Tests: Simulate balancers with narrow links

Cause: a balancer with a link of 10 Mbit/s that restarted in a series of terminations let open flows reach other targets for 2 s (FLOW). The flow simulation had links without a limit and a fabric that knew which balancers run, and it did not check the rule.

Change: a balancer may have a narrow link: a rate in bytes per second in each direction, a queue of at most 1 s, and 28 bytes of headers for each packet. A terminated balancer forwards until 1.2 s without a packet of a caller have passed, at most for 4.8 s, and starts again 0.5 s later. With probesReadiness, the fabric removes a balancer after two failed probes, 500 ms apart, and uses all balancers of a zone, even dead ones, if less than half are in rotation. Both are off by default. violations() checks FLOW in all tests and schedules: while a flow's target lives, at least three of its packets must not reach other targets for 2,000 ms and none its own.

Ruled out: that the check may ignore whether the owner's agent runs.

--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -1,5 +1,8 @@
 #include "flowsimulation/flowsimulation.h"
 
+#include "flowsimulation/readinessprobe.h"
+#include "flowsimulation/simulatedlink.h"
+
 #include "platform/announcement.h"
 #include "platform/mapdecoder.h"
 
@@ -22,6 +25,10 @@
 constexpr std::chrono::milliseconds kCallerLatency{ 2 };
 /** Interval at which the fabric retries a packet to a suspended balancer. */
 constexpr std::chrono::milliseconds kSuspendedRetryInterval{ 20 };
+/** A stopping balancer ends after this time without a packet of a caller. */
+constexpr std::chrono::milliseconds kStopQuietTime{ 1'200 };
+constexpr std::chrono::milliseconds kMaxStopTime{ 4'800 };
+constexpr std::chrono::milliseconds kRestartDelay{ 500 };
 constexpr std::uint32_t kFirstEra = 1;
 constexpr std::uint16_t kAgentPort = 8172;
 constexpr std::uint16_t kBalancerPort = 7720;
@@ -57,7 +64,7 @@
 {
   FlowSimulation& simulation;
   std::string name;
-  std::size_t zone;
+  SimulatedLink& link;
 
   void sendToAgent(const Core::Endpoint& aTo,
                    absl::Span<const std::uint8_t> aData)
@@ -67,7 +74,11 @@
   void sendToCaller(const Core::Endpoint& /*aTo*/,
                     absl::Span<const std::uint8_t> aData)
   {
-    simulation.transmitToCaller(zone, Bytes(aData.begin(), aData.end()), true);
+    const auto sentAt = link.transmit(aData.size(), simulation.mNow);
+    if (sentAt) {
+      simulation.transmitToCaller(
+        *sentAt, Bytes(aData.begin(), aData.end()), true);
+    }
   }
 };
 
@@ -75,7 +86,6 @@
 {
   FlowSimulation& simulation;
   std::string target;
-  std::size_t zone;
   Core::Endpoint agent;
 
   void sendToBalancer(const Core::Endpoint& aTo,
@@ -91,15 +101,31 @@
   void sendToCaller(const Core::Endpoint& /*aTo*/,
                     absl::Span<const std::uint8_t> aData)
   {
-    simulation.transmitToCaller(zone, Bytes(aData.begin(), aData.end()), false);
+    simulation.transmitToCaller(
+      simulation.mNow, Bytes(aData.begin(), aData.end()), false);
   }
 };
 
 struct FlowSimulation::Balancer
 {
+  Balancer(const SimulatedLink& aLink, Core::TimePoint aFirstProbeAt)
+    : incoming(aLink)
+    , outgoing(aLink)
+    , readiness(aFirstProbeAt)
+  {
+  }
+
   std::string name;
-  std::size_t zone;
+  std::size_t zone = 0;
   Core::Endpoint endpoint;
+  SimulatedLink incoming;
+  SimulatedLink outgoing;
+  ReadinessProbe readiness;
+  /** When the balancer was terminated; null if it was not. */
+  Core::TimePoint stoppingSince{};
+  Core::TimePoint lastCallerPacketAt{};
+  /** When a terminated balancer starts again; null if it does not. */
+  Core::TimePoint restartAt{};
   std::unique_ptr<BalancerOutput> output;
   /** Null while the balancer does not run. */
   std::unique_ptr<
@@ -144,14 +170,18 @@
       createTarget(service, { kAgentSubnet + mNextAddress++, kAgentPort });
     }
   }
-  for (std::size_t i = 0; i < kZoneCount * aSettings.balancersPerZone; ++i) {
-    auto balancer = std::make_unique<Balancer>();
+  const auto balancerCount = kZoneCount * aSettings.balancersPerZone;
+  for (std::size_t i = 0; i < balancerCount; ++i) {
+    const bool isNarrow = i / kZoneCount < aSettings.narrowBalancersPerZone;
+    const SimulatedLink link(isNarrow ? aSettings.narrowLinkBytesPerSecond : 0);
+    auto balancer = std::make_unique<Balancer>(
+      link, mNow + i * ReadinessProbe::kInterval / balancerCount);
     balancer->name = absl::StrCat("b", i + 1);
     balancer->zone = i % kZoneCount;
     balancer->endpoint = { kBalancerSubnet + static_cast<std::uint32_t>(i) + 1,
                            kBalancerPort };
     balancer->output = std::make_unique<BalancerOutput>(
-      BalancerOutput{ *this, balancer->name, balancer->zone });
+      BalancerOutput{ *this, balancer->name, balancer->outgoing });
     mBalancers[balancer->name] = std::move(balancer);
   }
   writeConfiguration();
@@ -173,8 +203,8 @@
   node->zone = (mTargetNodes.size() / 2) % kZoneCount;
   node->agent = aAgent;
   node->number = mTargetNodes.size() + 1;
-  node->output = std::make_unique<AgentOutput>(
-    AgentOutput{ *this, name, node->zone, aAgent });
+  node->output =
+    std::make_unique<AgentOutput>(AgentOutput{ *this, name, aAgent });
   node->target = std::make_unique<FakeTarget>(
     aService, name, mSettings.slots, (mTargetNodes.size() + 1) * 10'000, mRuns);
   mTargetNameByAgent[Steering::endpointKey(aAgent)] = name;
@@ -206,12 +236,44 @@
 void
 FlowSimulation::killBalancer(const std::string& aName)
 {
-  mBalancers.at(aName)->steerer.reset();
+  auto& balancer = *mBalancers.at(aName);
+  balancer.stoppingSince = {};
+  balancer.restartAt = {};
+  if (balancer.steerer != nullptr) {
+    for (std::size_t i = 0; i < mEndedCounters.size(); ++i) {
+      mEndedCounters[i] += balancer.steerer->counters().value(
+        static_cast<Steering::SteeringCounter>(i));
+    }
+  }
+  balancer.steerer.reset();
+}
+
+void
+FlowSimulation::terminateBalancer(const std::string& aName)
+{
+  auto& balancer = *mBalancers.at(aName);
+  if (balancer.steerer != nullptr &&
+      balancer.stoppingSince == Core::TimePoint{}) {
+    balancer.stoppingSince = mNow;
+  }
+}
+
+void
+FlowSimulation::terminateInSeries(const std::vector<std::string>& aNames,
+                                  Core::Duration aGap)
+{
+  auto at = mNow;
+  for (const auto& name : aNames) {
+    mDeliveries.push(
+      { at, ++mDeliveryNumber, [this, name] { terminateBalancer(name); } });
+    at += aGap;
+  }
 }
 
 void
 FlowSimulation::startBalancer(const std::string& aName, bool aHasMap)
 {
+  killBalancer(aName);
   auto& balancer = *mBalancers.at(aName);
   balancer.steerer = std::make_unique<
     Steering::FlowSteerer<Platform::DatagramFormat, BalancerOutput>>(
@@ -492,11 +554,14 @@
 FlowSimulation::openFlow(const std::string& aService,
                          std::size_t aZone,
                          std::size_t aRequestCount,
-                         Core::Duration aPause)
+                         Core::Duration aPause,
+                         std::size_t aRequestBytes)
 {
   std::vector<std::string> requests;
   for (std::size_t i = 0; i < aRequestCount; ++i) {
-    requests.push_back(absl::StrCat("r", mNextRequest++));
+    auto request = absl::StrCat("r", mNextRequest++);
+    request.resize(std::max(request.size(), aRequestBytes), '.');
+    requests.push_back(std::move(request));
     mServiceByRequest[requests.back()] = aService;
   }
   const Packet::FlowKey flow{ { kCallerSubnet + 7, mNextCallerPort++ },
@@ -545,11 +610,49 @@
       balancer->steerer->tick(mNow);
     }
   }
+  updateStoppingBalancers();
+  probeReadiness();
   expireKeptEntries();
 }
 
+/** Ends the balancers that have stopped, and starts them again. */
 void
-FlowSimulation::scheduleDelivery(std::size_t aFromZone,
+FlowSimulation::updateStoppingBalancers()
+{
+  for (auto& [name, balancer] : mBalancers) {
+    if (balancer->stoppingSince != Core::TimePoint{}) {
+      const auto quietSince =
+        std::max(balancer->stoppingSince, balancer->lastCallerPacketAt);
+      if (mNow - quietSince >= kStopQuietTime ||
+          mNow - balancer->stoppingSince >= kMaxStopTime) {
+        killBalancer(name);
+        balancer->restartAt = mNow + kRestartDelay;
+      }
+    } else if (balancer->restartAt != Core::TimePoint{} &&
+               mNow >= balancer->restartAt) {
+      startBalancer(name);
+    }
+  }
+}
+
+void
+FlowSimulation::probeReadiness()
+{
+  for (auto& [name, balancer] : mBalancers) {
+    if (balancer->readiness.isDue(mNow)) {
+      const auto* steerer = balancer->steerer.get();
+      const bool isReady = steerer != nullptr && steerer->map() != nullptr &&
+                           !steerer->isIsolated(mNow) &&
+                           balancer->stoppingSince == Core::TimePoint{} &&
+                           !mSuspended.contains(name);
+      balancer->readiness.record(isReady, mNow);
+    }
+  }
+}
+
+void
+FlowSimulation::scheduleDelivery(Core::TimePoint aSentAt,
+                                 std::size_t aFromZone,
                                  std::size_t aToZone,
                                  std::function<void()> aDeliver)
 {
@@ -559,42 +662,80 @@
   const Core::Duration delay = aFromZone == aToZone
                                  ? Core::Duration(kInZoneLatency)
                                  : Core::Duration(kCrossZoneLatency);
-  mDeliveries.push({ mNow + delay, ++mDeliveryNumber, std::move(aDeliver) });
+  mDeliveries.push({ aSentAt + delay, ++mDeliveryNumber, std::move(aDeliver) });
 }
 
 void
-FlowSimulation::forwardToBalancer(std::size_t aZone, const Bytes& aPacket)
+FlowSimulation::receive(Balancer& aBalancer,
+                        std::size_t aBytes,
+                        std::function<void()> aHandle)
 {
-  std::vector<Balancer*> runningBalancers;
-  for (auto& [name, balancer] : mBalancers) {
-    if (balancer->zone == aZone && balancer->steerer != nullptr) {
-      runningBalancers.push_back(balancer.get());
+  const auto receivedAt = aBalancer.incoming.transmit(aBytes, mNow);
+  if (receivedAt && *receivedAt <= mNow) {
+    aHandle();
+  } else if (receivedAt) {
+    mDeliveries.push({ *receivedAt, ++mDeliveryNumber, std::move(aHandle) });
+  }
+}
+
+std::vector<FlowSimulation::Balancer*>
+FlowSimulation::selectableBalancers(std::size_t aZone) const
+{
+  std::vector<Balancer*> all;
+  std::vector<Balancer*> selectable;
+  for (const auto& [name, balancer] : mBalancers) {
+    if (balancer->zone != aZone) {
+      continue;
+    }
+    all.push_back(balancer.get());
+    if (mSettings.probesReadiness ? balancer->readiness.isInRotation()
+                                  : balancer->steerer != nullptr) {
+      selectable.push_back(balancer.get());
     }
   }
-  if (runningBalancers.empty()) {
+  const bool usesAll =
+    mSettings.probesReadiness && selectable.size() * 2 < all.size();
+  return usesAll ? all : selectable;
+}
+
+void
+FlowSimulation::forwardToBalancer(std::size_t aZone, const Bytes& aPacket)
+{
+  const auto balancers = selectableBalancers(aZone);
+  if (balancers.empty()) {
     return;
   }
   const auto flow = Platform::Datagram::parse(aPacket)->flowFromCaller();
-  auto* balancer =
-    runningBalancers[Steering::flowHash(flow) % runningBalancers.size()];
+  auto* balancer = balancers[Steering::flowHash(flow) % balancers.size()];
   mDeliveries.push({ mNow + kCallerLatency, ++mDeliveryNumber, [=, this] {
                       if (mSuspended.contains(balancer->name)) {
                         mDeliveries.push(
                           { mNow + kSuspendedRetryInterval,
                             ++mDeliveryNumber,
                             [=, this] { forwardToBalancer(aZone, aPacket); } });
-                      } else if (balancer->steerer != nullptr) {
-                        balancer->steerer->handleCallerPacket(aPacket, mNow);
+                      } else {
+                        receive(*balancer, aPacket.size(), [=, this] {
+                          handleCallerPacket(*balancer, aPacket);
+                        });
                       }
                     } });
 }
 
+void
+FlowSimulation::handleCallerPacket(Balancer& aBalancer, const Bytes& aPacket)
+{
+  if (aBalancer.steerer != nullptr && !mSuspended.contains(aBalancer.name)) {
+    aBalancer.lastCallerPacketAt = mNow;
+    aBalancer.steerer->handleCallerPacket(aPacket, mNow);
+  }
+}
+
 void
 FlowSimulation::transmitToAgent(const std::string& aFrom,
                                 const Core::Endpoint& aTo,
                                 const Bytes& aData)
 {
-  const auto& balancer = *mBalancers.at(aFrom);
+  auto& balancer = *mBalancers.at(aFrom);
   const auto it = mTargetNameByAgent.find(Steering::endpointKey(aTo));
   if (it == mTargetNameByAgent.end()) {
     return;
@@ -604,8 +745,15 @@
   if (message.ok() && message->kind == Steering::MessageKind::OwnerQuery) {
     ++mOwnerQueryCount;
   }
+  if (message.ok() && message->kind == Steering::MessageKind::Probe) {
+    ++mProbeCount;
+  }
+  const auto sentAt = balancer.outgoing.transmit(aData.size(), mNow);
+  if (!sentAt) {
+    return;
+  }
   const auto from = balancer.endpoint;
-  scheduleDelivery(balancer.zone, node.zone, [this, &node, from, aData] {
+  scheduleDelivery(*sentAt, balancer.zone, node.zone, [=, this, &node] {
     if (node.controller != nullptr && !mSuspended.contains(node.name)) {
       node.controller->handleBalancerMessage(from, aData, mNow);
     }
@@ -622,10 +770,12 @@
   for (auto& [name, balancer] : mBalancers) {
     if (balancer->endpoint == aTo) {
       auto* to = balancer.get();
-      scheduleDelivery(node.zone, to->zone, [this, to, aFrom, aData] {
-        if (to->steerer != nullptr && !mSuspended.contains(to->name)) {
-          to->steerer->handleAgentMessage(aFrom, aData, mNow);
-        }
+      scheduleDelivery(mNow, node.zone, to->zone, [=, this] {
+        receive(*to, aData.size(), [=, this] {
+          if (to->steerer != nullptr && !mSuspended.contains(to->name)) {
+            to->steerer->handleAgentMessage(aFrom, aData, mNow);
+          }
+        });
       });
     }
   }
@@ -648,6 +798,39 @@
   for (const auto& packet : node.target->handlePacket(aPacket, mNow)) {
     transmitFromTarget(aTarget, packet);
   }
+  checkDelivery(node, flow);
+}
+
+/** Only the agent of its target can deliver a packet of a flow to it. */
+void
+FlowSimulation::checkDelivery(const TargetNode& aNode,
+                              const Packet::FlowKey& aFlow)
+{
+  if (aNode.target->ownsFlow(aFlow)) {
+    mOwners[aFlow] = &aNode;
+    mDeliveryCheck.restart(aFlow);
+    return;
+  }
+  const auto it = mOwners.find(aFlow);
+  if (it == mOwners.end()) {
+    return;
+  }
+  const auto* owner = it->second;
+  const bool isReachable =
+    owner->controller != nullptr && !mSuspended.contains(owner->name);
+  if (owner->target == nullptr || !owner->target->ownsFlow(aFlow)) {
+    mOwners.erase(it);
+    mDeliveryCheck.restart(aFlow);
+  } else if (!isReachable) {
+    mDeliveryCheck.restart(aFlow);
+  } else if (mDeliveryCheck.recordAstray(aFlow, mNow)) {
+    mViolations.push_back(absl::StrCat(sinceStart().count(),
+                                       " ms: packets of a flow reached only "
+                                       "other targets than ",
+                                       owner->name,
+                                       ": ",
+                                       Packet::formatFlowKey(aFlow)));
+  }
 }
 
 /** A draining target gets no new flow once every balancer can know of it. */
@@ -683,7 +866,7 @@
 }
 
 void
-FlowSimulation::transmitToCaller(std::size_t /*aFromZone*/,
+FlowSimulation::transmitToCaller(Core::TimePoint aSentAt,
                                  const Bytes& aPacket,
                                  bool aIsFromBalancer)
 {
@@ -694,7 +877,7 @@
     return;
   }
   auto* caller = it->second.first;
-  mDeliveries.push({ mNow + kCallerLatency, ++mDeliveryNumber, [=, this] {
+  mDeliveries.push({ aSentAt + kCallerLatency, ++mDeliveryNumber, [=, this] {
                       if (aIsFromBalancer) {
                         checkBalancerReset(*caller);
                       }
@@ -706,6 +889,36 @@
                     } });
 }
 
+std::uint64_t
+FlowSimulation::counterSum(Steering::SteeringCounter aCounter) const
+{
+  auto sum = mEndedCounters[static_cast<std::size_t>(aCounter)];
+  for (const auto& [name, balancer] : mBalancers) {
+    if (balancer->steerer != nullptr) {
+      sum += balancer->steerer->counters().value(aCounter);
+    }
+  }
+  return sum;
+}
+
+std::uint64_t
+FlowSimulation::bytesSent(const std::string& aBalancer) const
+{
+  return mBalancers.at(aBalancer)->outgoing.byteCount();
+}
+
+Core::Duration
+FlowSimulation::peakSendTime(const std::string& aBalancer) const
+{
+  return mBalancers.at(aBalancer)->outgoing.peakTime();
+}
+
+std::uint64_t
+FlowSimulation::bytesReceived(const std::string& aBalancer) const
+{
+  return mBalancers.at(aBalancer)->incoming.byteCount();
+}
+
 std::chrono::milliseconds
 FlowSimulation::sinceStart() const
 {
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "flowsimulation/deliverycheck.h"
 #include "flowsimulation/faketarget.h"
 #include "flowsimulation/flowcaller.h"
 
@@ -9,6 +10,7 @@
 #include "steering/admissioncontroller.h"
 #include "steering/flowsteerer.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,13 +31,23 @@
   unsigned seed = 1;
   /** Probability that a packet between a balancer and an agent is lost. */
   double loss = 0;
+  /** Rate of a narrow link, in each direction; 0 is unlimited. */
+  std::uint64_t narrowLinkBytesPerSecond = 0;
+  /** Number of balancers in each zone, from the first, with a narrow link. */
+  std::size_t narrowBalancersPerZone = 0;
+  /**
+   * Whether the fabric removes balancers from rotation by probing their
+   * readiness, instead of knowing which ones run. If less than half of a zone's
+   * balancers are in rotation, it uses all of them, even those that do not run.
+   */
+  bool probesReadiness = false;
 };
 
 /**
  * Deterministic simulation of a fleet in one process and on a manual clock. It
  * runs the production logic of balancers and agents on the platform's packets;
  * the network, the fabric, the callers and the backend servers are simulated.
- * The fabric selects among the running balancers of a zone by the flow's hash.
+ * The fabric selects among the balancers of a zone by the flow's hash.
  */
 class FlowSimulation
 {
@@ -50,17 +62,30 @@
   Core::TimePoint now() const { return mNow; }
   void advance(Core::Duration aDuration);
 
-  /** Opens a flow from a zone to a service and sends all requests on it. */
+  /**
+   * Opens a flow from a zone to a service and sends all requests on it, each
+   * with at least aRequestBytes of payload.
+   */
   FlowCaller& openFlow(const std::string& aService,
                        std::size_t aZone,
                        std::size_t aRequestCount = 1,
-                       Core::Duration aPause = std::chrono::milliseconds(500));
+                       Core::Duration aPause = std::chrono::milliseconds(500),
+                       std::size_t aRequestBytes = 0);
 
   std::vector<std::string> balancerNames() const;
   std::vector<std::string> targetNames() const;
   /** Ends the process at once; its state is lost. */
   void killBalancer(const std::string& aName);
   void startBalancer(const std::string& aName, bool aHasMap = true);
+  /**
+   * Requests a balancer to stop. It is not ready any more, forwards until no
+   * packet arrives, and is started again. No effect if it does not run. The
+   * fabric has to probe the readiness.
+   */
+  void terminateBalancer(const std::string& aName);
+  /** Terminates the balancers one after the other, from now on. */
+  void terminateInSeries(const std::vector<std::string>& aNames,
+                         Core::Duration aGap);
   void killAgent(const std::string& aTarget);
   void startAgent(const std::string& aTarget);
   /**
@@ -110,6 +135,15 @@
 
   /** Number of owner queries that balancers sent so far. */
   std::size_t ownerQueryCount() const { return mOwnerQueryCount; }
+  /** Number of probes that balancers sent to suspected agents so far. */
+  std::size_t probeCount() const { return mProbeCount; }
+  /** Sum of a counter over all balancers, including those that have ended. */
+  std::uint64_t counterSum(Steering::SteeringCounter aCounter) const;
+  /** Bytes that a balancer sent and received so far, including headers. */
+  std::uint64_t bytesSent(const std::string& aBalancer) const;
+  std::uint64_t bytesReceived(const std::string& aBalancer) const;
+  /** The longest time that a packet of a balancer has waited for its link. */
+  Core::Duration peakSendTime(const std::string& aBalancer) const;
 
   /** One line per invariant violated so far. */
   std::vector<std::string> violations() const;
@@ -132,10 +166,20 @@
   };
 
   void step();
-  void scheduleDelivery(std::size_t aFromZone,
+  void scheduleDelivery(Core::TimePoint aSentAt,
+                        std::size_t aFromZone,
                         std::size_t aToZone,
                         std::function<void()> aDeliver);
+  /** Lets a packet pass the balancer's incoming link. */
+  void receive(Balancer& aBalancer,
+               std::size_t aBytes,
+               std::function<void()> aHandle);
+  /** The balancers among which the fabric selects. */
+  std::vector<Balancer*> selectableBalancers(std::size_t aZone) const;
+  void probeReadiness();
+  void updateStoppingBalancers();
   void forwardToBalancer(std::size_t aZone, const Bytes& aPacket);
+  void handleCallerPacket(Balancer& aBalancer, const Bytes& aPacket);
   void transmitToAgent(const std::string& aFrom,
                        const Core::Endpoint& aTo,
                        const Bytes& aData);
@@ -144,7 +188,7 @@
                           const Bytes& aData);
   void transmitToTarget(const std::string& aTarget, const Bytes& aPacket);
   void transmitFromTarget(const std::string& aTarget, const Bytes& aPacket);
-  void transmitToCaller(std::size_t aFromZone,
+  void transmitToCaller(Core::TimePoint aSentAt,
                         const Bytes& aPacket,
                         bool aIsFromBalancer);
   std::chrono::milliseconds sinceStart() const;
@@ -161,6 +205,7 @@
   void mergeFromPeers(Balancer& aBalancer);
   void expireKeptEntries();
   void checkDrain(const TargetNode& aNode, const Bytes& aPacket);
+  void checkDelivery(const TargetNode& aNode, const Packet::FlowKey& aFlow);
   std::string createTarget(const std::string& aService, Core::Endpoint aAgent);
 
   FlowSimulationSettings mSettings;
@@ -186,7 +231,13 @@
   std::vector<RequestRun> mRuns;
   std::map<std::string, std::string> mServiceByRequest;
   std::vector<std::string> mViolations;
+  /** The targets of open flows. */
+  std::map<Packet::FlowKey, const TargetNode*> mOwners;
+  DeliveryCheck mDeliveryCheck;
   std::size_t mOwnerQueryCount = 0;
+  std::size_t mProbeCount = 0;
+  /** Sums over the balancers that have ended. */
+  std::array<std::uint64_t, Steering::SteeringCounters::kSize> mEndedCounters{};
   std::uint32_t mNextAddress = 1;
   std::uint16_t mNextCallerPort = 1;
   std::uint32_t mNextRequest = 1;
