Tests: Reproduce the FLOW incident of narrow links

Cause reproduced: a restarted balancer with a link of 10 Mbit/s fills the link by its searches. Replies wait in the queue of its own link, are taken as overdue after 100 ms, and the packets go to the next agent, which fills the link further.

Change: a regression test with 37 targets of 2 slots, four balancers in the zone, two of them with narrow links, agents with their full history, 1,600 long-lived flows in one zone with requests of 301 to 900 bytes every 0.5 to 1 s, and 200 short flows a second in both zones. All balancers are terminated 10 ms apart. It checks that no sound agent is suspected, that all flows are closed, and FLOW. Callers that have ended are no longer visited in each step.

Ruled out: that the load or the restarts alone cause it.

What fills the link first at the load of the incident, with fewer flows, is not shown.

--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -124,6 +124,7 @@
   /** When the balancer was terminated; null if it was not. */
   Core::TimePoint stoppingSince{};
   Core::TimePoint lastCallerPacketAt{};
+  std::uint64_t callerByteCount = 0;
   /** When a terminated balancer starts again; null if it does not. */
   Core::TimePoint restartAt{};
   std::unique_ptr<BalancerOutput> output;
@@ -569,6 +570,7 @@
   mCallers.push_back(
     std::make_unique<FlowCaller>(flow, std::move(requests), aPause, mNow));
   mCallerByFlow[flow] = { mCallers.back().get(), aZone };
+  mActiveCallers[flow] = mCallerByFlow[flow];
   return *mCallers.back();
 }
 
@@ -590,11 +592,7 @@
     mDeliveries.pop();
     deliver();
   }
-  for (auto& [flow, entry] : mCallerByFlow) {
-    for (const auto& packet : entry.first->takeDuePackets(mNow)) {
-      forwardToBalancer(entry.second, packet);
-    }
-  }
+  sendCallerPackets();
   for (auto& [name, node] : mTargetNodes) {
     if (node->target != nullptr) {
       for (const auto& packet : node->target->takeDuePackets(mNow)) {
@@ -615,6 +613,20 @@
   expireKeptEntries();
 }
 
+void
+FlowSimulation::sendCallerPackets()
+{
+  for (auto it = mActiveCallers.begin(); it != mActiveCallers.end();) {
+    auto* caller = it->second.first;
+    for (const auto& packet : caller->takeDuePackets(mNow)) {
+      forwardToBalancer(it->second.second, packet);
+    }
+    const bool isActive = caller->state() == FlowState::Connecting ||
+                          caller->state() == FlowState::Open;
+    it = isActive ? std::next(it) : mActiveCallers.erase(it);
+  }
+}
+
 /** Ends the balancers that have stopped, and starts them again. */
 void
 FlowSimulation::updateStoppingBalancers()
@@ -726,6 +738,7 @@
 {
   if (aBalancer.steerer != nullptr && !mSuspended.contains(aBalancer.name)) {
     aBalancer.lastCallerPacketAt = mNow;
+    aBalancer.callerByteCount += aPacket.size() + SimulatedLink::kHeaderBytes;
     aBalancer.steerer->handleCallerPacket(aPacket, mNow);
   }
 }
@@ -907,6 +920,12 @@
   return mBalancers.at(aBalancer)->outgoing.byteCount();
 }
 
+std::uint64_t
+FlowSimulation::bytesFromCallers(const std::string& aBalancer) const
+{
+  return mBalancers.at(aBalancer)->callerByteCount;
+}
+
 Core::Duration
 FlowSimulation::peakSendTime(const std::string& aBalancer) const
 {
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -142,6 +142,8 @@
   /** Bytes that a balancer sent and received so far, including headers. */
   std::uint64_t bytesSent(const std::string& aBalancer) const;
   std::uint64_t bytesReceived(const std::string& aBalancer) const;
+  /** The part of the received bytes that came from callers. */
+  std::uint64_t bytesFromCallers(const std::string& aBalancer) const;
   /** The longest time that a packet of a balancer has waited for its link. */
   Core::Duration peakSendTime(const std::string& aBalancer) const;
 
@@ -166,6 +168,7 @@
   };
 
   void step();
+  void sendCallerPackets();
   void scheduleDelivery(Core::TimePoint aSentAt,
                         std::size_t aFromZone,
                         std::size_t aToZone,
@@ -226,6 +229,8 @@
   std::vector<std::unique_ptr<FlowCaller>> mCallers;
   /** The caller of a flow and its zone. */
   std::map<Packet::FlowKey, std::pair<FlowCaller*, std::size_t>> mCallerByFlow;
+  /** Those that may still send packets. */
+  std::map<Packet::FlowKey, std::pair<FlowCaller*, std::size_t>> mActiveCallers;
   std::set<std::string> mSuspended;
   std::set<std::string> mMapUpdatesPaused;
   std::vector<RequestRun> mRuns;
--- a/tests/flowsimulation/tst_flowsimulation.cpp
+++ b/tests/flowsimulation/tst_flowsimulation.cpp
@@ -333,3 +333,40 @@
   CHECK(answersWithin(simulation, 150ms) == 200 * 8);
   checkNoViolations(simulation);
 }
+
+TEST_CASE("balancers with narrow links that restart in series forward no flow "
+          "past its owner")
+{
+  constexpr std::size_t kFlowCount = 1'600;
+  FlowTesting::FlowSimulationSettings settings;
+  settings.balancersPerZone = 4;
+  settings.targetsPerService = 37;
+  settings.slots = 2;
+  settings.narrowLinkBytesPerSecond = 1'250'000;
+  settings.narrowBalancersPerZone = 2;
+  settings.probesReadiness = true;
+  FlowSimulation simulation(settings);
+  for (const auto& name : simulation.targetNames()) {
+    simulation.setProcessingTime(name, 10ms);
+  }
+  // Agents report that they know all flows.
+  simulation.advance(31s);
+  for (std::size_t i = 0; i < kFlowCount; ++i) {
+    const auto pause = 500ms + i * 613 % 500 * 1ms;
+    const auto requestCount = static_cast<std::size_t>(13s / pause);
+    const auto requestBytes = 270 + i * 317 % 600;
+    simulation.openFlow("red", 0, requestCount, pause, requestBytes);
+    if (i % 2 == 0) {
+      simulation.advance(1ms);
+    }
+  }
+  simulation.advance(2s);
+  simulation.terminateInSeries(simulation.balancerNames(), 10ms);
+  openFlowsEvenly(simulation, 200, 11s);
+  simulation.advance(7s);
+  CHECK(simulation.counterSum(Steering::SteeringCounter::TargetsSuspected) ==
+        0);
+  CHECK(countFlows(simulation, FlowState::Closed) ==
+        simulation.callers().size());
+  checkNoViolations(simulation);
+}
