Tests: Terminate balancers in series in random schedules

Cause: the random schedules never terminated several balancers one after the other, and all links were unlimited, so that they could not find the incident of docs/incidents/0004-flow-narrow-link.md.

Change: a new action terminates all balancers, or all but one, in random order and 100 to 700 ms apart; series may overlap. Half of the seeds have a fabric that probes readiness. A third of the seeds have one balancer with a narrow link in each zone, 2 to 4 balancers a zone, 10 to 37 targets a service and 300 long-lived flows, with 500 to 1,200 bytes per second of each link for each flow; the flows of a zone use about 430 of these with their own packets (computed). The other seeds draw other actions than before, since there is one more.

Ruled out: that the series alone violate a rule.

--- a/tests/flowsimulation/flowschedule.cpp
+++ b/tests/flowsimulation/flowschedule.cpp
@@ -18,6 +18,8 @@
 /** Time without new flows and actions before the checks. */
 constexpr auto kSettleDuration = 6'000ms;
 constexpr auto kTimeSlice = 100ms;
+/** Number of flows that are open all the time if links are narrow. */
+constexpr std::size_t kLongLivedFlows = 300;
 
 /**
  * Opens flows and performs random actions: faults, most of which are reverted
@@ -28,13 +30,17 @@
 public:
   explicit ScheduleRunner(unsigned aSeed)
     : mRandom(aSeed)
-    , mSimulation(settingsFor(aSeed))
+    , mSettings(settingsFor(aSeed))
+    , mSimulation(mSettings)
     , mLoadEnd(mSimulation.now() + kLoadDuration)
   {
   }
 
   ScheduleResult run()
   {
+    if (mSettings.narrowLinkBytesPerSecond > 0) {
+      openLongLivedFlows();
+    }
     while (mSimulation.now() < mLoadEnd) {
       openFlows();
       if (chance(0.12)) {
@@ -69,9 +75,24 @@
     settings.targetsPerService = 2 + random() % 5;
     settings.slots = 1 + random() % 6;
     settings.loss = random() % 3 == 0 ? 0.01 : 0.0;
+    settings.probesReadiness = random() % 2 == 0;
+    if (random() % 3 == 0) {
+      narrowLinks(settings, random);
+    }
     return settings;
   }
 
+  /** A flow needs about 430 bytes per second of the links of its zone. */
+  static void narrowLinks(FlowSimulationSettings& aSettings,
+                          std::mt19937_64& aRandom)
+  {
+    aSettings.balancersPerZone = 2 + aRandom() % 3;
+    aSettings.targetsPerService = 10 + aRandom() % 28;
+    aSettings.narrowBalancersPerZone = 1;
+    aSettings.narrowLinkBytesPerSecond =
+      kLongLivedFlows * (500 + aRandom() % 700);
+  }
+
   bool chance(double aProbability)
   {
     return std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
@@ -104,6 +125,21 @@
       { mSimulation.now() + aDelay, std::move(aRevertFault) });
   }
 
+  void openLongLivedFlows()
+  {
+    for (std::size_t i = 0; i < kLongLivedFlows; ++i) {
+      const auto pause = randomDuration(500ms, 1'000ms);
+      const auto requestCount = static_cast<std::size_t>(kLoadDuration / pause);
+      const auto requestBytes = 70 + mRandom() % 800;
+      mSimulation.openFlow("red",
+                           mRandom() % FlowSimulation::kZoneCount,
+                           requestCount,
+                           pause,
+                           requestBytes);
+      mSimulation.advance(1ms);
+    }
+  }
+
   void openFlows()
   {
     const auto count = mRandom() % 3;
@@ -117,7 +153,7 @@
 
   void performRandomAction()
   {
-    switch (mRandom() % 10) {
+    switch (mRandom() % 11) {
       case 0:
         restartBalancer();
         break;
@@ -150,6 +186,9 @@
       case 9:
         restoreStore();
         break;
+      case 10:
+        terminateInSeries();
+        break;
     }
   }
 
@@ -164,6 +203,20 @@
     });
   }
 
+  /** Terminates all balancers, or all but one, one after the other. */
+  void terminateInSeries()
+  {
+    auto names = mSimulation.balancerNames();
+    std::shuffle(names.begin(), names.end(), mRandom);
+    if (chance(0.5)) {
+      names.pop_back();
+    }
+    const auto gap = randomDuration(100ms, 700ms);
+    recordAction(absl::StrCat(
+      "terminate ", names.size(), " balancers every ", gap / 1ms, " ms"));
+    mSimulation.terminateInSeries(names, gap);
+  }
+
   void restartAgent()
   {
     const auto name = pickName(mSimulation.targetNames());
@@ -245,6 +298,7 @@
   }
 
   std::mt19937_64 mRandom;
+  FlowSimulationSettings mSettings;
   FlowSimulation mSimulation;
   Core::TimePoint mLoadEnd;
   std::vector<Recovery> mRecoveries;
--- a/tests/flowsimulation/flowschedule.h
+++ b/tests/flowsimulation/flowschedule.h
@@ -17,9 +17,10 @@
 };
 
 /**
- * Simulates fifteen seconds of load with kills, restarts, suspensions, lost
- * packets, drains, crashes, reused addresses and delayed fleet maps, all drawn
- * from the seed. Equal seeds give equal results.
+ * Simulates fifteen seconds of load with kills, restarts, series of
+ * terminations, suspensions, lost packets, narrow links, drains, crashes,
+ * reused addresses and delayed fleet maps, all drawn from the seed. Equal seeds
+ * give equal results.
  */
 ScheduleResult
 runSchedule(unsigned aSeed);
