Steering: Query targets that are added during a search

A search counted how many agents in search order it had queried. When the map changed meanwhile, an added target was not queried, but the search waited for its reply until it was dropped after 3 s.

New case: a target that is added during a search is queried.

--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -49,11 +49,14 @@
   void setMap(const FleetMapPointer& aMap, Core::TimePoint aNow)
   {
     mContext.now = aNow;
-    if (mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap)) {
+    const bool hasNewTargets =
+      mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap);
+    mContext.map = aMap;
+    if (hasNewTargets) {
       mContext.targetsSettledAt =
         aNow + OwnerSearch<Format, Output>::kSecondSearchDelay;
+      mOwnerSearch.handleNewTargets();
     }
-    mContext.map = aMap;
     mContext.loads.retainIf([this](const Core::Endpoint& aAgent) {
       return mContext.map->findTarget(aAgent) != nullptr;
     });
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -237,6 +237,9 @@
     }
   }
 
+  /** Queries targets that the map did not contain before. */
+  void handleNewTargets() { mSearches.beginNewPasses(); }
+
   std::size_t searchCount() const { return mSearches.size(); }
 
   /** Time until tick() is due; std::nullopt if no search is in progress. */
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -112,6 +112,14 @@
   });
 }
 
+void
+PendingSearches::beginNewPasses()
+{
+  for (auto& [flow, search] : mSearches) {
+    search.beginNextPass();
+  }
+}
+
 void
 PendingSearches::expire(Core::TimePoint aNow)
 {
--- a/src/libs/steering/pendingsearches.h
+++ b/src/libs/steering/pendingsearches.h
@@ -145,6 +145,8 @@
   /** Flows whose search was exhausted at least aDelay ago. */
   std::vector<Packet::FlowKey> exhaustedFlows(std::chrono::milliseconds aDelay,
                                               Core::TimePoint aNow) const;
+  /** Begins a new pass in each search, for targets that were added. */
+  void beginNewPasses();
   /** Removes searches that take longer than kMaxDuration. */
   void expire(Core::TimePoint aNow);
 
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -730,6 +730,25 @@
   }
 }
 
+TEST_CASE("a target that is added during a search is queried")
+{
+  Fixture f;
+  f.searchByForwarding(1);
+  f.setTargets({ 1, 2, 3, 4 }, 2);
+  f.rejectPacket(f.lastForwardedTo(),
+                 RejectReason::UnknownFlow,
+                 f.output.toAgents.back().body);
+  f.output.toAgents.clear();
+  f.now += Search::kTickInterval;
+  f.steerer.tick(f.now);
+  REQUIRE(f.output.toAgents.size() == 1);
+  CHECK(f.output.toAgents.back().to == Fixture::agent(4));
+  CHECK(f.output.toAgents.back().message.wantsUnknownFlowReply);
+  f.rejectQueries();
+  f.steerer.tick(f.now);
+  CHECK_FALSE(f.lastForwardedTo().isNull());
+}
+
 TEST_CASE("a packet of a search that is lost is sent to the same agent again")
 {
   Fixture f;
