Steering: Query agents again that did not reply during a search

An agent that did not reply in time was excluded until its search ended, up to 3 s later, also if it was only suspended and owned the flow. It is now queried in each pass, which begin at most 400 ms apart.

--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -39,6 +39,8 @@
    * replied. Queries and forwarded packets of all searches share a LinkBudget.
    */
   static constexpr auto kQueryInterval = AgentLoadTable::kReplyTimeout;
+  /** Limit of the growing time between two passes of queries. */
+  static constexpr std::chrono::milliseconds kMaxPassInterval{ 400 };
   /** Number of agents in the first round of queries: both shortlists. */
   static constexpr std::size_t kFirstQueryCount = 2 * kShortlistSize;
   /** Number of agents that get an owner hint: two, since one may restart. */
@@ -318,8 +320,7 @@
       aSearch.queriedCount > 0 || aSearch.passCount > 0;
     for (auto i = aSearch.queriedCount; i < end; ++i) {
       const auto& agent = order[i]->agent;
-      if (aCachedFlow.excludedAgents.contains(agent) ||
-          aSearch.uncertainAgents.contains(agent)) {
+      if (!needsQuery(agent, aCachedFlow, aSearch)) {
         continue;
       }
       mContext.sendOwnerQuery(agent, aFlow, aSearch.areRepliesRequested);
@@ -333,6 +334,19 @@
     aSearch.lastQueryAt = aNow;
   }
 
+  /**
+   * An agent that is excluded only because it did not reply may be suspended,
+   * and is queried again.
+   */
+  static bool needsQuery(const Core::Endpoint& aAgent,
+                         const CachedFlow& aCachedFlow,
+                         const PendingSearch& aSearch)
+  {
+    const bool isUntried = !aCachedFlow.excludedAgents.contains(aAgent);
+    return !aCachedFlow.rejectedBy.contains(aAgent) &&
+           !(aSearch.uncertainAgents.contains(aAgent) && isUntried);
+  }
+
   /**
    * Sends the queries that are due, for the longest searched flows first. Only
    * the first round of a flow does not wait for the budget: most owners are
@@ -361,12 +375,12 @@
     }
     const bool isLastRound = aSearch.areAllQueried;
     const bool isFirstPass = aSearch.passCount == 0;
-    if (isLastRound && !isFirstPass && aSearch.isAnswered()) {
-      return false;
-    }
+    const bool isComplete = isLastRound && !isFirstPass;
     const auto interval =
-      isLastRound ? kQueryInterval * (1 << aSearch.passCount) : kQueryInterval;
-    if (!aSearch.isAnswered() &&
+      isLastRound
+        ? std::min(kQueryInterval * (1 << aSearch.passCount), kMaxPassInterval)
+        : kQueryInterval;
+    if ((isComplete || !aSearch.isAnswered()) &&
         !mContext.replies.isOverdue(aSearch.lastQueryAt, interval, aNow)) {
       return false;
     }
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -730,6 +730,29 @@
   }
 }
 
+TEST_CASE("an owner that was suspended during its search is found afterwards")
+{
+  Fixture f;
+  f.searchByForwarding(1);
+  const auto owner = f.lastForwardedTo();
+  f.silentAgents.insert(owner);
+  f.wait(100ms);
+  f.wait(100ms);
+  REQUIRE(f.lastForwardedTo() != owner);
+  f.output.toAgents.clear();
+  bool isQueried = false;
+  for (int i = 0; i < 10; ++i) {
+    f.wait(100ms);
+    for (const auto& sent : f.output.toAgents) {
+      isQueried |=
+        sent.to == owner && sent.message.kind == MessageKind::OwnerQuery;
+    }
+  }
+  CHECK(isQueried);
+  f.sendOwnerNotice(owner, 1);
+  CHECK(f.lastForwardedTo() == owner);
+}
+
 TEST_CASE("a target that is added during a search is queried")
 {
   Fixture f;
