Steering: Limit the doubling of the time between passes

Each map with new targets begins a new pass in every search, so the number of passes in 3 s has no limit, and 1 << passes could overflow. Found by reading. The intervals stay 100, 200 and 400 ms. tst_steering passes: 93 cases.

--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -39,8 +39,8 @@
    * replied. Queries and forwarded packets of all searches share a LinkBudget.
    */
   static constexpr auto kQueryInterval = AgentLoadTable::kReplyTimeout;
-  /** Limit of the growing time between two passes of queries. */
-  static constexpr std::chrono::milliseconds kMaxPassInterval{ 400 };
+  /** How often the time between two passes of queries is doubled. */
+  static constexpr int kMaxPassDoublings = 2;
   /** Number of agents in the first round of queries: both shortlists. */
   static constexpr std::size_t kFirstQueryCount = 2 * kShortlistSize;
   /** Number of agents that get an owner hint: two, since one may restart. */
@@ -376,10 +376,9 @@
     const bool isLastRound = aSearch.areAllQueried;
     const bool isFirstPass = aSearch.passCount == 0;
     const bool isComplete = isLastRound && !isFirstPass;
+    const auto doublings = std::min(aSearch.passCount, kMaxPassDoublings);
     const auto interval =
-      isLastRound
-        ? std::min(kQueryInterval * (1 << aSearch.passCount), kMaxPassInterval)
-        : kQueryInterval;
+      isLastRound ? kQueryInterval * (1 << doublings) : kQueryInterval;
     if ((isComplete || !aSearch.isAnswered()) &&
         !mContext.replies.isOverdue(aSearch.lastQueryAt, interval, aNow)) {
       return false;
