Steering: Carry priority, evacuation and slow-start limits in messages

Cause: nothing between balancers and agents says how urgent a request is, whether the operator has evacuated the agent's zone, or how many requests a cold backend server may take; each part of the work on load needs one of them.

Change: byte 3 of a balancer's message is the priority of the route (it was the reject reason, which only agents use), flag 0x40 tells an evacuated zone, flag 0x80 an extension of 4 bytes with the limit and the rest of the slow start. Agents report the requests that a cold server may still take. The reasons Evacuated and SlowStartLimit are known. The header keeps its 32 bytes where no limit is configured. Nothing decides by these fields yet.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -125,7 +125,7 @@
       mLinks.sendLoadReport(aFrom, currentLoad(aNow));
       return;
     }
-    const auto body = aData.subspan(AgentMessage::kBytes);
+    const auto body = aData.subspan(message->size());
     if (message->kind == MessageKind::OwnerQuery) {
       replyToOwnerQuery(aFrom, *message, body, aNow);
       return;
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -18,7 +18,9 @@
 constexpr std::uint8_t kUnavailableFlag = 0x08;
 constexpr std::uint8_t kFullHistoryFlag = 0x10;
 constexpr std::uint8_t kWantsUnknownFlowReplyFlag = 0x20;
-/** After magic, kind, flags and reason. */
+constexpr std::uint8_t kZoneEvacuatedFlag = 0x40;
+constexpr std::uint8_t kSlowStartFlag = 0x80;
+/** After magic, kind, flags, and reason or priority. */
 constexpr std::size_t kEraOffset = 4;
 constexpr std::size_t kChangeOffset = 8;
 constexpr std::size_t kSendTimeOffset = 16;
@@ -36,6 +38,8 @@
   flags |= aMessage.load.isUnavailable ? kUnavailableFlag : 0;
   flags |= aMessage.load.hasFullHistory ? kFullHistoryFlag : 0;
   flags |= aMessage.wantsUnknownFlowReply ? kWantsUnknownFlowReplyFlag : 0;
+  flags |= aMessage.isZoneEvacuated ? kZoneEvacuatedFlag : 0;
+  flags |= aMessage.slowStart ? kSlowStartFlag : 0;
   return flags;
 }
 
@@ -51,14 +55,6 @@
     std::clamp<std::int64_t>(aTime.count(), 0, kMax));
 }
 
-bool
-hasKnownCodes(std::uint8_t aKind, std::uint8_t aReason)
-{
-  return aKind >= static_cast<std::uint8_t>(MessageKind::Forward) &&
-         aKind <= static_cast<std::uint8_t>(MessageKind::UnknownFlowReply) &&
-         aReason <= static_cast<std::uint8_t>(RejectReason::Draining);
-}
-
 void
 writeRequestFields(const AgentMessage& aMessage, std::uint8_t* aData)
 {
@@ -87,6 +83,7 @@
   Packet::store16(aData + 2, aLoad.lateRequests);
   Packet::store16(aData + 4, aLoad.longLivedFlows);
   Packet::store16(aData + 6, toWireMilliseconds(aLoad.serviceTime));
+  Packet::store16(aData + 8, aLoad.slowStartBudget);
 }
 
 void
@@ -96,6 +93,7 @@
   aLoad.lateRequests = Packet::load16(aData + 2);
   aLoad.longLivedFlows = Packet::load16(aData + 4);
   aLoad.serviceTime = std::chrono::milliseconds(Packet::load16(aData + 6));
+  aLoad.slowStartBudget = Packet::load16(aData + 8);
 }
 
 void
@@ -124,6 +122,16 @@
          aKind == MessageKind::StoreOwnerHint;
 }
 
+/** aByte is the reject reason of an agent, or the priority of a balancer. */
+bool
+hasKnownCodes(std::uint8_t aKind, std::uint8_t aByte)
+{
+  return aKind >= static_cast<std::uint8_t>(MessageKind::Forward) &&
+         aKind <= static_cast<std::uint8_t>(MessageKind::UnknownFlowReply) &&
+         (isFromBalancer(static_cast<MessageKind>(aKind)) ||
+          aByte <= static_cast<std::uint8_t>(RejectReason::SlowStartLimit));
+}
+
 } // namespace
 
 const char*
@@ -144,6 +152,10 @@
       return "the backend server does not respond";
     case RejectReason::Draining:
       return "the agent is draining";
+    case RejectReason::Evacuated:
+      return "the availability zone is evacuated";
+    case RejectReason::SlowStartLimit:
+      return "the cold backend server has no request left in this second";
   }
   return "unknown";
 }
@@ -155,7 +167,8 @@
   header[0] = kMagic;
   header[1] = static_cast<std::uint8_t>(kind);
   header[2] = encodeFlags(*this);
-  header[3] = static_cast<std::uint8_t>(reason);
+  header[3] =
+    isFromBalancer(kind) ? priority : static_cast<std::uint8_t>(reason);
   Packet::store32(&header[kEraOffset], mapRevision.era);
   Packet::store64(&header[kChangeOffset], mapRevision.change);
   Packet::store32(&header[kSendTimeOffset], sendTime.count());
@@ -165,6 +178,12 @@
     writeLoad(load, &header[kFieldsOffset]);
   }
   aBuffer.insert(aBuffer.end(), header.begin(), header.end());
+  if (slowStart) {
+    std::array<std::uint8_t, kSlowStartBytes> extension{};
+    Packet::store16(extension.data(), slowStart->limit);
+    Packet::store16(&extension[2], toWireMilliseconds(slowStart->remaining));
+    aBuffer.insert(aBuffer.end(), extension.begin(), extension.end());
+  }
 }
 
 absl::StatusOr<AgentMessage>
@@ -181,18 +200,28 @@
   const auto flags = aData[2];
   AgentMessage message;
   message.kind = static_cast<MessageKind>(aData[1]);
-  message.reason = static_cast<RejectReason>(aData[3]);
   message.wantsOwnerNotice = (flags & kWantsOwnerNoticeFlag) != 0;
   message.wantsUnknownFlowReply = (flags & kWantsUnknownFlowReplyFlag) != 0;
   message.isLongLived = (flags & kLongLivedFlag) != 0;
+  message.isZoneEvacuated = (flags & kZoneEvacuatedFlag) != 0;
   message.mapRevision = { Packet::load32(&aData[kEraOffset]),
                           Packet::load64(&aData[kChangeOffset]) };
   message.sendTime = SendTime(Packet::load32(&aData[kSendTimeOffset]));
   if (isFromBalancer(message.kind)) {
+    message.priority = aData[3];
     readRequestFields(&aData[kFieldsOffset], message);
   } else {
+    message.reason = static_cast<RejectReason>(aData[3]);
     readLoad(&aData[kFieldsOffset], message.load);
   }
+  if ((flags & kSlowStartFlag) != 0) {
+    if (aData.size() < kBytes + kSlowStartBytes) {
+      return absl::InvalidArgumentError("truncated slow-start extension");
+    }
+    message.slowStart = { Packet::load16(&aData[kBytes]),
+                          std::chrono::milliseconds(
+                            Packet::load16(&aData[kBytes + 2])) };
+  }
   message.load.isUnavailable = (flags & kUnavailableFlag) != 0;
   message.load.hasFullHistory = (flags & kFullHistoryFlag) != 0;
   return message;
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Steering {
@@ -63,6 +64,10 @@
   Unresponsive = 5,
   /** The agent is draining. */
   Draining = 6,
+  /** The operator has evacuated the availability zone of the agent. */
+  Evacuated = 7,
+  /** The backend server is cold and has got its requests of this second. */
+  SlowStartLimit = 8,
 };
 
 /** Text of the reason for logs. */
@@ -72,6 +77,8 @@
 /** An agent's load, reported in each of its messages. */
 struct ReportedLoad
 {
+  static constexpr std::uint16_t kNoSlowStartLimit = 65'535;
+
   /**
    * Requests that the backend server has or is expected to get shortly, and
    * queued requests that can still be answered on time.
@@ -90,6 +97,20 @@
    * open flows.
    */
   bool hasFullHistory = false;
+  /**
+   * Requests that the cold backend server may still take now;
+   * kNoSlowStartLimit if it takes any number.
+   */
+  std::uint16_t slowStartBudget = kNoSlowStartLimit;
+};
+
+/** How many requests a cold backend server may get. */
+struct SlowStart
+{
+  /** Requests in any one second, from all balancers together. */
+  std::uint16_t limit = 0;
+  /** Time until the backend server is warm. */
+  std::chrono::milliseconds remaining{ 0 };
 };
 
 /**
@@ -98,7 +119,9 @@
  */
 struct AgentMessage
 {
+  /** Size of a header without the slow-start extension. */
   static constexpr std::size_t kBytes = 32;
+  static constexpr std::size_t kSlowStartBytes = 4;
 
   MessageKind kind = MessageKind::Probe;
   RejectReason reason = RejectReason::None;
@@ -111,6 +134,13 @@
   bool wantsUnknownFlowReply = false;
   /** Forward: the flow carries many requests. */
   bool isLongLived = false;
+  /**
+   * Set by balancers: the operator has evacuated the availability zone of the
+   * recipient, as of mapRevision.
+   */
+  bool isZoneEvacuated = false;
+  /** Forward: urgency of the request; 0 is the most urgent. */
+  std::uint8_t priority = 0;
   /**
    * The newest fleet map revision that the sender knows. It shows a balancer
    * that others have a newer map.
@@ -131,11 +161,20 @@
   std::chrono::milliseconds latencyObjective{ 0 };
   /** Forward: time after which the caller gives up. */
   std::chrono::milliseconds timeout{ 0 };
+  /**
+   * Forward: the limit of a cold backend server; std::nullopt if it has none.
+   */
+  std::optional<SlowStart> slowStart;
   /** Set in all messages of an agent. */
   ReportedLoad load;
 
+  /** Size of the header in bytes, with the slow-start extension if present. */
+  std::size_t size() const
+  {
+    return slowStart ? kBytes + kSlowStartBytes : kBytes;
+  }
   void appendTo(std::vector<std::uint8_t>& aBuffer) const;
-  /** Parses the header; the body starts at kBytes. */
+  /** Parses the header; the body starts at size(). */
   static absl::StatusOr<AgentMessage> parse(
     absl::Span<const std::uint8_t> aData);
 };
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -36,6 +36,13 @@
   TargetState state = TargetState::Accepting;
   /** End of the slow start. The target is slower than usual until then. */
   Core::TimePoint slowStartUntil{};
+  /**
+   * Requests that the target may get in any one second of its slow start, from
+   * all balancers together; 0 if the number is not limited.
+   */
+  std::uint16_t slowStartLimit = 0;
+  /** Whether the operator has evacuated the target's availability zone. */
+  bool isZoneEvacuated = false;
   /** Unix time of the target's start; 0 if unknown. */
   std::chrono::milliseconds startedAt{ 0 };
   /**
@@ -106,6 +113,8 @@
   std::chrono::milliseconds latencyObjective{ 0 };
   /** Callers give up after this time. */
   std::chrono::milliseconds timeout{ 0 };
+  /** Urgency under overload; 0 is the most urgent. */
+  std::uint8_t priority = 0;
 };
 
 /**
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -111,7 +111,7 @@
     mContext.loads.recordReport(aFrom, message->load, aNow);
     mContext.newestReportedRevision =
       std::max(mContext.newestReportedRevision, message->mapRevision);
-    const auto body = aData.subspan(AgentMessage::kBytes);
+    const auto body = aData.subspan(message->size());
     switch (message->kind) {
       case MessageKind::Reject:
         handleReject(aFrom, message->reason, body, aNow);
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -118,6 +118,7 @@
     message.age = aAge;
     message.latencyObjective = aRoute.latencyObjective;
     message.timeout = aRoute.timeout;
+    message.priority = aRoute.priority;
     mBuffer.clear();
     message.appendTo(mBuffer);
     const auto bytes = aPacket.bytes();
