Steering: Take evacuated zones out of service

Cause: the operator evacuates availability zones by a key of the platform's store, which nothing read; balancers placed new flows there.

Balancers place no new flow there, tell the flag in each message and probe the agents whose flag changes. Agents keep the flag of the newest revision and reject new flows; the balancer then tries another target at once, and refuses the flow if none is left. The random schedules evacuate zones and check the bound of 5 s.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -2,6 +2,7 @@
 
 #include "steering/agentmessage.h"
 #include "steering/balancerlinks.h"
+#include "steering/evacuationstate.h"
 #include "steering/fleetmap.h"
 #include "steering/flowhash.h"
 #include "steering/ownerhints.h"
@@ -100,6 +101,8 @@
   std::size_t openFlows() const { return mFlows.size(); }
   std::uint32_t inProgress() const { return mFlows.inProgress(); }
   std::size_t queuedRequests() const { return mQueue.size(); }
+  /** May be called by any thread. */
+  EvacuationStatus evacuation() const { return mEvacuation.status(); }
 
   /** Rejects all new flows from now on and reports this to the balancers. */
   void startDraining(Core::TimePoint aNow)
@@ -121,6 +124,7 @@
       return;
     }
     mLinks.recordMessage(aFrom, message->mapRevision, message->sendTime, aNow);
+    updateEvacuation(*message);
     if (message->kind == MessageKind::Probe) {
       mLinks.sendLoadReport(aFrom, currentLoad(aNow));
       return;
@@ -212,18 +216,36 @@
     Bytes packet;
   };
 
+  void updateEvacuation(const AgentMessage& aMessage)
+  {
+    if (!mEvacuation.update(aMessage.mapRevision, aMessage.isZoneEvacuated)) {
+      return;
+    }
+    mEvents.write(aMessage.isZoneEvacuated ? Telemetry::Event::ZoneEvacuated
+                                           : Telemetry::Event::ZoneReturned,
+                  [&] {
+                    return Telemetry::EventFields().add(
+                      "revision", formatMapRevision(aMessage.mapRevision));
+                  });
+  }
+
   void handleSyn(const Core::Endpoint& aFrom,
                  const AgentMessage& aMessage,
                  const PacketType& aPacket,
                  Core::TimePoint aNow)
   {
     const auto key = aPacket.flowFromCaller();
-    const bool isKnownFlow = mFlows.find(key) != nullptr;
+    const auto* knownFlow = mFlows.find(key);
+    // A SYN for a flow that has ended would open a new one.
+    const bool isKnownFlow = knownFlow != nullptr &&
+                             !(mEvacuation.isEvacuated() && knownFlow->isEnded);
     if (!isKnownFlow) {
       const auto reason = admissionResult(aMessage, aNow);
       if (reason != RejectReason::None) {
         if (reason == RejectReason::Full) {
           mLinks.markAwaitingSlot(aFrom);
+        } else if (reason == RejectReason::Evacuated) {
+          mCounters.increment(SteeringCounter::OpeningsEvacuated);
         }
         mEvents.write(Telemetry::Event::FlowTurnedAway, [&] {
           return flowFields(key, aNow)
@@ -316,6 +338,9 @@
     if (mIsDraining) {
       return RejectReason::Draining;
     }
+    if (mEvacuation.isEvacuated()) {
+      return RejectReason::Evacuated;
+    }
     if (mUnansweredSyns >= kUnresponsiveThreshold) {
       if (aNow - mLastRetryAt < kUnresponsiveRetryInterval) {
         return RejectReason::Unresponsive;
@@ -614,8 +639,8 @@
     load.longLivedFlows = toUint16(mFlows.longLivedFlows());
     load.serviceTime = mFlows.serviceTime();
     load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
-    load.isUnavailable =
-      mIsDraining || mUnansweredSyns >= kUnresponsiveThreshold;
+    load.isUnavailable = mIsDraining || mEvacuation.isEvacuated() ||
+                         mUnansweredSyns >= kUnresponsiveThreshold;
     return load;
   }
 
@@ -641,6 +666,7 @@
   int mUnansweredSyns = 0;
   Core::TimePoint mLastRetryAt{};
   bool mIsDraining = false;
+  EvacuationState mEvacuation;
   Bytes mBuffer;
 };
 
--- a/src/libs/steering/fleetmap.cpp
+++ b/src/libs/steering/fleetmap.cpp
@@ -39,14 +39,24 @@
                      });
 }
 
+const EvacuatedZone*
+FleetMap::findEvacuatedZone(absl::string_view aZone) const
+{
+  const auto it = std::find_if(
+    mEvacuatedZones.begin(),
+    mEvacuatedZones.end(),
+    [aZone](const EvacuatedZone& aEntry) { return aEntry.zone == aZone; });
+  return it == mEvacuatedZones.end() ? nullptr : &*it;
+}
+
 std::size_t
 FleetMap::acceptingCount() const
 {
   std::size_t count = 0;
   for (const auto& service : mServices) {
     for (const auto& target : service.targets) {
-      const bool canAccept =
-        target.state == TargetState::Accepting && !target.isRemoved();
+      const bool canAccept = target.state == TargetState::Accepting &&
+                             !target.isZoneEvacuated && !target.isRemoved();
       count += canAccept ? 1 : 0;
     }
   }
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -72,7 +72,7 @@
   }
   bool acceptsNewFlows(Core::TimePoint aNow) const
   {
-    return state == TargetState::Accepting &&
+    return state == TargetState::Accepting && !isZoneEvacuated &&
            (!isRemoved() || aNow - removedAt < kRemovalGracePeriod);
   }
 };
@@ -117,6 +117,14 @@
   std::uint8_t priority = 0;
 };
 
+/** An availability zone that the operator has taken out of service. */
+struct EvacuatedZone
+{
+  std::string zone;
+  /** Revision at which the operator evacuated it. */
+  MapRevision since;
+};
+
 /**
  * Routes, services and their targets, decoded from one revision of the data
  * that the platform publishes. Immutable; a newer map replaces it.
@@ -141,6 +149,13 @@
   const Service& serviceOf(const Core::Endpoint& aAgent) const;
   /** Whether the agent's target belongs to one of the route's services. */
   bool serves(const Route& aRoute, const Core::Endpoint& aAgent) const;
+  /** The evacuated zones that contain a target. */
+  const std::vector<EvacuatedZone>& evacuatedZones() const
+  {
+    return mEvacuatedZones;
+  }
+  /** Null if the zone is not evacuated. */
+  const EvacuatedZone* findEvacuatedZone(absl::string_view aZone) const;
   /**
    * Number of targets that accept new flows. Removed targets do not count, even
    * during their grace period.
@@ -156,6 +171,7 @@
   std::uint64_t mVersion = 0;
   MapRevision mRevision;
   std::vector<Service> mServices;
+  std::vector<EvacuatedZone> mEvacuatedZones;
   absl::flat_hash_map<std::uint64_t, Route> mRoutes;
   /** Service index and target index by agent. */
   absl::flat_hash_map<std::uint64_t, std::pair<std::size_t, std::size_t>>
--- a/src/libs/steering/fleetmapbuilder.cpp
+++ b/src/libs/steering/fleetmapbuilder.cpp
@@ -94,9 +94,45 @@
   return mMap->mTargets.contains(endpointKey(aAgent));
 }
 
+FleetMapBuilder&
+FleetMapBuilder::evacuateZone(absl::string_view aZone,
+                              const MapRevision& aSince)
+{
+  mMap->mEvacuatedZones.push_back({ std::string(aZone), aSince });
+  return *this;
+}
+
+bool
+FleetMapBuilder::hasTargetIn(absl::string_view aZone) const
+{
+  const auto& services = mMap->mServices;
+  return std::any_of(
+    services.begin(), services.end(), [aZone](const Service& aService) {
+      return std::any_of(
+        aService.targets.begin(),
+        aService.targets.end(),
+        [aZone](const Target& aTarget) { return aTarget.zone == aZone; });
+    });
+}
+
+void
+FleetMapBuilder::markEvacuatedTargets()
+{
+  std::erase_if(mMap->mEvacuatedZones, [this](const EvacuatedZone& aEntry) {
+    return !hasTargetIn(aEntry.zone);
+  });
+  for (auto& service : mMap->mServices) {
+    for (auto& target : service.targets) {
+      // A removed target was copied from a map with other evacuated zones.
+      target.isZoneEvacuated = mMap->findEvacuatedZone(target.zone) != nullptr;
+    }
+  }
+}
+
 FleetMapPointer
 FleetMapBuilder::build()
 {
+  markEvacuatedTargets();
   return std::exchange(mMap, std::make_shared<FleetMap>());
 }
 
--- a/src/libs/steering/fleetmapbuilder.h
+++ b/src/libs/steering/fleetmapbuilder.h
@@ -38,6 +38,15 @@
   FleetMapBuilder& keepRemovedTargets(const FleetMap& aPrevious,
                                       Core::TimePoint aNow);
 
+  /**
+   * Takes a zone out of service. It also applies to targets that are added
+   * later, and has no effect if no target is in the zone.
+   */
+  FleetMapBuilder& evacuateZone(absl::string_view aZone,
+                                const MapRevision& aSince);
+  /** Whether a target that was added so far is in the zone. */
+  bool hasTargetIn(absl::string_view aZone) const;
+
   FleetMapPointer build();
 
 private:
@@ -45,6 +54,7 @@
   std::size_t findOrAddService(absl::string_view aName);
   void removeTarget(std::size_t aServiceIndex, std::size_t aTargetIndex);
   bool hasTarget(const Core::Endpoint& aAgent) const;
+  void markEvacuatedTargets();
 
   std::shared_ptr<FleetMap> mMap = std::make_shared<FleetMap>();
 };
--- a/src/libs/steering/flowcache.h
+++ b/src/libs/steering/flowcache.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/inlined_vector.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace Steering {
@@ -31,6 +32,13 @@
   void clear() { mAgents.clear(); }
   std::size_t size() const { return mAgents.size(); }
   bool isEmpty() const { return mAgents.empty(); }
+  /** The first agent for which aPredicate returns true; null if none. */
+  template<typename Predicate>
+  const Core::Endpoint* findIf(Predicate aPredicate) const
+  {
+    const auto it = std::find_if(mAgents.begin(), mAgents.end(), aPredicate);
+    return it == mAgents.end() ? nullptr : &*it;
+  }
 
 private:
   absl::InlinedVector<Core::Endpoint, 2> mAgents;
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -69,13 +69,17 @@
       mContext.counters.increment(SteeringCounter::OpeningsRepeated);
       mPendingFlows.recordRetransmission(
         *pending, aPacket.retransmissionCount(), aNow);
-      if (pending->isQueued() ||
-          !mContext.isReplyOverdue(pending->forwardedAt, aNow)) {
+      if (pending->isQueued()) {
+        sendCopyToEvacuatedTarget(aPacket, aFlow, aNow);
+        return;
+      }
+      if (!mContext.isReplyOverdue(pending->forwardedAt, aNow)) {
         return;
       }
       abandonUnresponsiveAgent(*pending, aNow);
     }
     placeFlow(*pending, aNow);
+    sendCopyToEvacuatedTarget(aPacket, aFlow, aNow);
   }
 
   /** Handles a SYN that an agent rejected. */
@@ -93,10 +97,19 @@
     }
     if (aReason == RejectReason::Refused ||
         aReason == RejectReason::WrongService ||
-        aReason == RejectReason::Draining) {
+        aReason == RejectReason::Draining ||
+        aReason == RejectReason::Evacuated) {
       cachedFlow.rejectedBy.add(aFrom);
     }
+    if (aReason == RejectReason::Evacuated) {
+      mContext.counters.increment(SteeringCounter::OpeningsEvacuated);
+    }
     auto* pending = mPendingFlows.find(aFlow);
+    // A restarted agent does not know what its backend server got before.
+    if (pending != nullptr &&
+        mContext.loads.find(aFrom).reported.hasFullHistory) {
+      pending->unansweredAgents.remove(aFrom);
+    }
     if (pending == nullptr || pending->agent != aFrom) {
       // The SYN was answered or sent to another agent in the meantime.
       return;
@@ -135,7 +148,10 @@
       }
       placeFlow(*pending, aNow);
       pending = mPendingFlows.find(flow);
-      if (pending != nullptr && pending->isQueued()) {
+      // Flows that wait for an evacuated target do not wait for capacity.
+      const bool isEvacuatedService =
+        key.first != nullptr && isEvacuated(*key.first, aNow);
+      if (pending != nullptr && pending->isQueued() && !isEvacuatedService) {
         fullServices.insert(key);
       }
     }
@@ -195,9 +211,42 @@
     }
     mContext.flowCache.findOrInsert(aPending.flow, aNow)
       .excludedAgents.add(aPending.agent);
+    aPending.unansweredAgents.add(aPending.agent);
     aPending.agent = {};
   }
 
+  /** Null if no target in an evacuated zone may own the flow. */
+  const Core::Endpoint* unansweredEvacuatedAgent(
+    const PendingFlow& aPending) const
+  {
+    return aPending.unansweredAgents.findIf(
+      [this](const Core::Endpoint& aAgent) {
+        return mContext.isZoneEvacuated(aAgent);
+      });
+  }
+
+  /**
+   * Sends the copy of a SYN that no other target can take to a target of an
+   * evacuated zone that may own the flow. Its agent knows whether it does, and
+   * otherwise rejects the copy.
+   */
+  void sendCopyToEvacuatedTarget(const PacketType& aPacket,
+                                 const Packet::FlowKey& aFlow,
+                                 Core::TimePoint aNow)
+  {
+    const auto* pending = mPendingFlows.find(aFlow);
+    const auto* service = serviceOf(aFlow);
+    if (pending == nullptr || service == nullptr || !pending->isQueued() ||
+        !isEvacuated(*service, aNow)) {
+      return;
+    }
+    if (const auto* agent = unansweredEvacuatedAgent(*pending)) {
+      CachedFlow copy;
+      copy.agent = *agent;
+      mContext.forward(aPacket, *mContext.findRoute(aFlow), copy);
+    }
+  }
+
   /**
    * Sends the SYN to the best target, leaves it in the queue, or refuses the
    * flow.
@@ -222,8 +271,14 @@
     const auto& service = mContext.map->services()[selectService(*route, hash)];
     collectCandidates(service, cachedFlow, aNow);
     if (mCandidates.empty()) {
-      if (isRejectedByAll(service, cachedFlow, aNow)) {
-        refuse(*packet, flow, service);
+      const bool isRejected = isRejectedByAll(service, cachedFlow, aNow);
+      const bool isUnplaceable = isRejected || isEvacuated(service, aNow);
+      if (isUnplaceable && unansweredEvacuatedAgent(aPending) == nullptr) {
+        refuse(*packet,
+               flow,
+               service,
+               isRejected ? "every target rejected it"
+                          : "every target is in an evacuated zone");
         return;
       }
       // Agents that did not reply may be tried again once they do.
@@ -348,15 +403,32 @@
     return isAnyAccepting;
   }
 
+  /**
+   * Whether the operator has evacuated the service: no target accepts new flows
+   * and the zone of one is evacuated.
+   */
+  static bool isEvacuated(const Service& aService, Core::TimePoint aNow)
+  {
+    bool isAnyEvacuated = false;
+    for (const auto& target : aService.targets) {
+      if (target.acceptsNewFlows(aNow)) {
+        return false;
+      }
+      isAnyEvacuated |= target.isZoneEvacuated;
+    }
+    return isAnyEvacuated;
+  }
+
   void refuse(const PacketType& aPacket,
               const Packet::FlowKey& aFlow,
-              const Service& aService)
+              const Service& aService,
+              const char* aReason)
   {
     mContext.counters.increment(SteeringCounter::FlowsRefused);
     mContext.events.write(Telemetry::Event::FlowRefused, [&] {
       return mContext.flowFields(aFlow)
         .add("name", aService.name)
-        .add("why", "every target rejected it")
+        .add("why", aReason)
         .add("targets", aService.targets.size())
         .add("revision", formatMapRevision(mContext.map->revision()));
     });
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -49,9 +49,9 @@
   void setMap(const FleetMapPointer& aMap, Core::TimePoint aNow)
   {
     mContext.now = aNow;
+    const auto previousMap = std::exchange(mContext.map, aMap);
     const bool hasNewTargets =
-      mContext.map != nullptr && hasNewTarget(*mContext.map, *aMap);
-    mContext.map = aMap;
+      previousMap != nullptr && hasNewTarget(*previousMap, *aMap);
     if (hasNewTargets) {
       mContext.targetsSettledAt =
         aNow + OwnerSearch<Format, Output>::kSecondSearchDelay;
@@ -60,6 +60,10 @@
     mContext.loads.retainIf([this](const Core::Endpoint& aAgent) {
       return mContext.map->findTarget(aAgent) != nullptr;
     });
+    const FleetMap noMap;
+    const auto& before = previousMap == nullptr ? noMap : *previousMap;
+    logEvacuations(before);
+    probeChangedZones(before, aNow);
     mPlacement.retryQueued(aNow);
   }
 
@@ -245,6 +249,46 @@
     return nullptr;
   }
 
+  /**
+   * Notifies the agents of zones that were evacuated or returned, since other
+   * balancers may have an older map.
+   */
+  void probeChangedZones(const FleetMap& aBefore, Core::TimePoint aNow)
+  {
+    for (const auto& service : mContext.map->services()) {
+      for (const auto& target : service.targets) {
+        const auto* before = aBefore.findTarget(target.agent);
+        const bool wasEvacuated = before != nullptr && before->isZoneEvacuated;
+        if (target.isZoneEvacuated != wasEvacuated && !target.isGone(aNow)) {
+          mContext.sendProbe(target.agent);
+        }
+      }
+    }
+  }
+
+  void logEvacuations(const FleetMap& aBefore)
+  {
+    const auto write = [this](Telemetry::Event aEvent,
+                              const EvacuatedZone& aEntry) {
+      mContext.events.write(aEvent, [&] {
+        return Telemetry::EventFields()
+          .add("zone", aEntry.zone)
+          .add("since", formatMapRevision(aEntry.since))
+          .add("revision", formatMapRevision(mContext.map->revision()));
+      });
+    };
+    for (const auto& entry : mContext.map->evacuatedZones()) {
+      if (aBefore.findEvacuatedZone(entry.zone) == nullptr) {
+        write(Telemetry::Event::ZoneEvacuated, entry);
+      }
+    }
+    for (const auto& entry : aBefore.evacuatedZones()) {
+      if (mContext.map->findEvacuatedZone(entry.zone) == nullptr) {
+        write(Telemetry::Event::ZoneReturned, entry);
+      }
+    }
+  }
+
   static bool hasNewTarget(const FleetMap& aBefore, const FleetMap& aAfter)
   {
     for (const auto& service : aAfter.services()) {
--- a/src/libs/steering/pendingflows.h
+++ b/src/libs/steering/pendingflows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/flowcache.h"
 #include "steering/retransmissionschedule.h"
 
 #include "core/clock.h"
@@ -32,6 +33,8 @@
   Core::TimePoint forwardedAt{};
   /** The agent that has to reply; null while the flow is queued. */
   Core::Endpoint agent;
+  /** Agents that did not reply to the SYN. Their targets may own the flow. */
+  AgentSet unansweredAgents;
 
   bool isQueued() const { return agent.isNull(); }
 };
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -92,6 +92,13 @@
     return map == nullptr ? nullptr : map->findRoute(aFlow.service);
   }
 
+  /** Whether the zone of the agent's target is evacuated in the map. */
+  bool isZoneEvacuated(const Core::Endpoint& aAgent) const
+  {
+    const auto* target = map == nullptr ? nullptr : map->findTarget(aAgent);
+    return target != nullptr && target->isZoneEvacuated;
+  }
+
   /**
    * Forwards a packet to the agent in the flow's cache entry. For a new flow
    * aAge is how long its caller has waited.
@@ -115,6 +122,7 @@
     message.serviceTag = map->serviceOf(aCachedFlow.agent).tag;
     message.slots =
       static_cast<std::uint16_t>(map->findTarget(aCachedFlow.agent)->slots);
+    message.isZoneEvacuated = isZoneEvacuated(aCachedFlow.agent);
     message.age = aAge;
     message.latencyObjective = aRoute.latencyObjective;
     message.timeout = aRoute.timeout;
@@ -129,7 +137,7 @@
 
   void sendProbe(const Core::Endpoint& aAgent)
   {
-    beginMessage(MessageKind::Probe);
+    beginMessage(aAgent, MessageKind::Probe);
     sendBuffer(aAgent);
   }
 
@@ -141,7 +149,7 @@
                       const Packet::FlowKey& aFlow,
                       bool aWantsUnknownFlowReply)
   {
-    beginMessage(MessageKind::OwnerQuery, aWantsUnknownFlowReply);
+    beginMessage(aAgent, MessageKind::OwnerQuery, aWantsUnknownFlowReply);
     OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
     sendBuffer(aAgent);
     // A reply uses as much of the link in the other direction.
@@ -155,7 +163,7 @@
   /** Notifies an agent that another agent owns a flow. */
   void sendOwnerHint(const Core::Endpoint& aAgent, const OwnerHint& aHint)
   {
-    beginMessage(MessageKind::StoreOwnerHint);
+    beginMessage(aAgent, MessageKind::StoreOwnerHint);
     aHint.appendTo(mBuffer);
     sendBuffer(aAgent);
   }
@@ -214,10 +222,13 @@
   /**
    * Starts a message in the buffer with only the fields that all kinds have.
    */
-  void beginMessage(MessageKind aKind, bool aWantsUnknownFlowReply = false)
+  void beginMessage(const Core::Endpoint& aAgent,
+                    MessageKind aKind,
+                    bool aWantsUnknownFlowReply = false)
   {
     AgentMessage message;
     message.kind = aKind;
+    message.isZoneEvacuated = isZoneEvacuated(aAgent);
     message.wantsUnknownFlowReply = aWantsUnknownFlowReply;
     message.mapRevision = mapRevision();
     message.sendTime = toSendTime(now);
--- a/src/libs/steering/steeringcounters.cpp
+++ b/src/libs/steering/steeringcounters.cpp
@@ -17,10 +17,10 @@
   "flows_reset",           "flows_turned_away",
   "openings_repeated",     "openings_unanswered",
   "openings_dropped",      "openings_expired",
-  "requests_held",         "wrong_service",
-  "targets_suspected",     "owner_notices",
-  "load_reports",          "owner_queries",
-  "bytes_to_agents",
+  "openings_evacuated",    "requests_held",
+  "wrong_service",         "targets_suspected",
+  "owner_notices",         "load_reports",
+  "owner_queries",         "bytes_to_agents",
 };
 
 } // namespace
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -29,6 +29,7 @@
   OpeningsUnanswered,
   OpeningsDropped,
   OpeningsExpired,
+  OpeningsEvacuated,
   RequestsHeld,
   WrongService,
   TargetsSuspected,
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -286,3 +286,45 @@
   REQUIRE(target != nullptr);
   CHECK_FALSE(target->acceptsNewFlows(Core::TimePoint(1s)));
 }
+
+// Guards against new flows in a zone that the operator has evacuated.
+TEST_CASE("an evacuation marks all targets of its zone until it is removed")
+{
+  SnapshotBuilder builder;
+  builder.put("servers/i-1", serverEntry("red", "10.0.0.1:8080"));
+  builder.put("servers/i-2", serverEntry("blue", "10.0.0.2:8080"));
+  const auto before = builder.decode();
+  builder.put("op/evacuate/z1", "{}");
+  builder.erase("servers/i-2");
+  const auto decoded = builder.decode(before.map);
+  CHECK(decoded.errors.empty());
+  REQUIRE(decoded.map->evacuatedZones().size() == 1);
+  CHECK(decoded.map->evacuatedZones()[0].zone == "z1");
+  CHECK(decoded.map->evacuatedZones()[0].since ==
+        Steering::MapRevision{ 1, 4 });
+  for (const auto* address : { "10.0.0.1", "10.0.0.2" }) {
+    CHECK(decoded.map->findTarget(agentEndpoint(address))->isZoneEvacuated);
+  }
+  builder.erase("op/evacuate/z1");
+  const auto after = builder.decode(decoded.map);
+  CHECK(after.map->evacuatedZones().empty());
+  CHECK_FALSE(
+    after.map->findTarget(agentEndpoint("10.0.0.2"))->isZoneEvacuated);
+}
+
+// A mistyped name must not go unnoticed, and must not affect other zones.
+TEST_CASE("an evacuation of no zone with targets is reported and ignored")
+{
+  SnapshotBuilder builder;
+  builder.put("servers/i-1", serverEntry("red", "10.0.0.1:8080"));
+  for (const auto* key :
+       { "op/evacuate/", "op/evacuate/z1/a", "op/evacuate/z9" }) {
+    builder.put(key, "{}");
+    const auto decoded = builder.decode();
+    REQUIRE(decoded.errors.size() == 1);
+    CHECK(decoded.errors[0].find(key) == 0);
+    CHECK(decoded.map->evacuatedZones().empty());
+    CHECK(decoded.map->acceptingCount() == 1);
+    builder.erase(key);
+  }
+}
--- a/tests/auto/platform/tst_storesnapshot.cpp
+++ b/tests/auto/platform/tst_storesnapshot.cpp
@@ -414,3 +414,101 @@
     }
   }
 }
+
+namespace {
+
+constexpr const char* kEvacuationKey = "op/evacuate/z1";
+
+std::vector<StoreItem>
+itemsOf(const StoreSnapshot& aSnapshot)
+{
+  std::vector<StoreItem> items;
+  for (const auto& [key, item] : aSnapshot.items()) {
+    items.push_back(item);
+  }
+  return items;
+}
+
+} // namespace
+
+// Guards against new flows in the zone before the operator has written a lost
+// evacuation again, and against a zone that is never taken back.
+TEST_CASE("an evacuation that a restored store lacks stays in force for 10 s")
+{
+  Fixture f;
+  f.snapshot.apply(
+    { { kEvacuationKey, "{}", { 1, 21 }, false } }, { 1, 21 }, f.now);
+  const std::vector<StoreItem> copy{ configuration(5, { 2, 10 }),
+                                     server("a", { 2, 11 }),
+                                     Fixture::serverB() };
+  f.restore(copy);
+  REQUIRE(f.snapshot.find(kEvacuationKey) != nullptr);
+  CHECK(f.snapshot.nextExpiry() == f.now + 10s);
+  SUBCASE("and ends if it is not written again")
+  {
+    CHECK_FALSE(f.snapshot.expire(f.now + 9'999ms));
+    CHECK_FALSE(f.snapshot.expire(f.now + 10s, f.now + 9s));
+    CHECK(f.snapshot.expire(f.now + 10s));
+    CHECK(f.snapshot.find(kEvacuationKey) == nullptr);
+    CHECK_FALSE(f.snapshot.nextExpiry().has_value());
+  }
+  SUBCASE("and longer if it is written again")
+  {
+    f.snapshot.apply(
+      { { kEvacuationKey, "{}", { 2, 16 }, false } }, { 2, 16 }, f.now);
+    CHECK_FALSE(f.snapshot.expire(f.now + 10s));
+    CHECK(f.snapshot.find(kEvacuationKey) != nullptr);
+  }
+  SUBCASE("also when all items are read again, from the same time on")
+  {
+    f.now += 9s;
+    f.restore(copy, 17);
+    CHECK(f.snapshot.find(kEvacuationKey) != nullptr);
+    CHECK(f.snapshot.expire(f.now + 1s));
+  }
+  SUBCASE("also at a process that learns it from a peer")
+  {
+    StoreSnapshot newcomer;
+    newcomer.replace(copy, { 2, 15 }, f.now);
+    SUBCASE("at the same revision")
+    {
+      newcomer.mergeKnown(
+        itemsOf(f.snapshot), {}, f.snapshot.revision(), f.now);
+    }
+    SUBCASE("at a newer revision")
+    {
+      newcomer.replace(itemsOf(f.snapshot), { 2, 16 }, f.now);
+    }
+    CHECK(newcomer.find(kEvacuationKey) != nullptr);
+    CHECK(newcomer.expire(f.now + 10s));
+    CHECK(newcomer.find(kEvacuationKey) == nullptr);
+  }
+}
+
+TEST_CASE("a removed evacuation that the copy contains is in force again")
+{
+  Fixture f;
+  const StoreItem evacuation{ kEvacuationKey, "{}", { 1, 13 }, false };
+  f.snapshot.apply(
+    { { kEvacuationKey, "{}", { 1, 21 }, false } }, { 1, 21 }, f.now);
+  f.snapshot.apply(
+    { { kEvacuationKey, "", { 1, 22 }, true } }, { 1, 22 }, f.now);
+  SUBCASE("until it is removed again")
+  {
+    f.restore({ configuration(5, { 1, 10 }),
+                server("a", { 1, 11 }),
+                Fixture::serverB(),
+                evacuation });
+    CHECK_FALSE(f.snapshot.expire(f.now + 11s));
+    CHECK(f.snapshot.find(kEvacuationKey) != nullptr);
+    f.snapshot.apply(
+      { { kEvacuationKey, "", { 2, 16 }, true } }, { 2, 16 }, f.now);
+    CHECK(f.snapshot.find(kEvacuationKey) == nullptr);
+  }
+  SUBCASE("but not if only a peer that missed the removal has it")
+  {
+    f.restore({ configuration(5, { 1, 10 }) });
+    f.snapshot.mergeKnown({ evacuation }, {}, { 1, 21 }, f.now);
+    CHECK(f.snapshot.find(kEvacuationKey) == nullptr);
+  }
+}
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -75,6 +75,8 @@
     message.isLongLived = isLongLived;
     message.serviceTag = Steering::FleetMap::serviceTag(aService);
     message.slots = 2;
+    message.mapRevision = mapRevision;
+    message.isZoneEvacuated = isZoneEvacuated;
     Bytes bytes;
     message.appendTo(bytes);
     bytes.insert(bytes.end(), aPacket.begin(), aPacket.end());
@@ -144,6 +146,8 @@
   Telemetry::HistogramSet histograms;
   Core::TimePoint now{ 100s };
   bool isLongLived = false;
+  Steering::MapRevision mapRevision;
+  bool isZoneEvacuated = false;
   /**
    * A request may be queued for a third of this, less than the 25 ms that it
    * would have to wait with both slots in use.
@@ -682,3 +686,61 @@
   f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
   CHECK(f.output.toBalancers.back().message.kind == MessageKind::OwnerNotice);
 }
+
+// Guards against new flows in an evacuated zone from balancers that have not
+// heard of the evacuation, and against the loss of open flows.
+TEST_CASE("an agent of an evacuated zone rejects new flows and no others")
+{
+  Fixture f;
+  f.mapRevision = { 1, 5 };
+  f.startRequest(1);
+  f.isZoneEvacuated = true;
+  f.mapRevision = { 1, 7 };
+  f.forward(Fixture::dataPacket(1, 10));
+  CHECK(f.controller.evacuation().isEvacuated);
+  CHECK(f.controller.evacuation().since == f.mapRevision);
+  const auto deliveredBefore = f.output.delivered.size();
+  f.isZoneEvacuated = false;
+  f.mapRevision = { 1, 6 };
+  f.forward(Fixture::synPacket(2), kOtherBalancer);
+  REQUIRE(f.rejections().size() == 1);
+  const auto message = f.rejections().back().message;
+  CHECK(message.reason == RejectReason::Evacuated);
+  CHECK(message.load.isUnavailable);
+  CHECK(f.controller.counters().value(
+          Steering::SteeringCounter::OpeningsEvacuated) == 1);
+  SUBCASE("a copy of the SYN of an open flow and its requests are delivered")
+  {
+    f.forward(Fixture::synPacket(1), kOtherBalancer);
+    f.sendAnswer(1);
+    f.forward(Fixture::dataPacket(1, 20), kOtherBalancer);
+    CHECK(f.output.delivered.size() == deliveredBefore + 2);
+  }
+  SUBCASE("a SYN on the port of a flow that has ended is rejected")
+  {
+    f.sendAnswer(1, true);
+    f.forward(Fixture::synPacket(1), kOtherBalancer);
+    CHECK(f.rejections().size() == 2);
+  }
+  SUBCASE("new flows are admitted again after a newer revision without it")
+  {
+    f.mapRevision = { 1, 8 };
+    f.forward(Fixture::synPacket(3));
+    CHECK(f.rejections().size() == 1);
+    CHECK(f.output.delivered.size() == deliveredBefore + 1);
+  }
+}
+
+// A restarted agent has no flag; it must not wait for a change of the map.
+TEST_CASE("a restarted agent takes the evacuation from the next message")
+{
+  Fixture f;
+  f.isZoneEvacuated = true;
+  f.mapRevision = { 1, 7 };
+  f.forward(Fixture::dataPacket(1, 1));
+  f.mapRevision = { 1, 6 };
+  f.isZoneEvacuated = false;
+  f.forward(Fixture::synPacket(2), kOtherBalancer);
+  REQUIRE(f.rejections().size() == 1);
+  CHECK(f.rejections().back().message.reason == RejectReason::Evacuated);
+}
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -73,9 +73,13 @@
 
   void setTargets(const std::vector<std::uint8_t>& aTargets,
                   std::uint64_t aRevision = 1,
-                  std::uint32_t aEra = 1)
+                  std::uint32_t aEra = 1,
+                  const std::set<std::string>& aEvacuatedZones = {})
   {
     Steering::FleetMapBuilder builder;
+    for (const auto& zone : aEvacuatedZones) {
+      builder.evacuateZone(zone, { aEra, aRevision });
+    }
     builder.revision({ aEra, aRevision });
     for (const auto number : aTargets) {
       Steering::Target target;
@@ -1121,3 +1125,156 @@
   exhaustSearch(f);
   CHECK(f.output.toCallers.size() == 1);
 }
+
+// Guards against agents that learn of an evacuation only from a new flow of a
+// balancer that has heard of it, since that balancer sends them none.
+TEST_CASE("agents whose zone changes are probed and told in each message")
+{
+  Fixture f(false);
+  SUBCASE("evacuated in a later map")
+  {
+    f.setTargets({ 1, 2, 3 });
+    REQUIRE(f.output.toAgents.empty());
+    f.setTargets({ 1, 2, 3 }, 2, 1, { "z1" });
+  }
+  SUBCASE("evacuated in the first map")
+  {
+    f.setTargets({ 1, 2, 3 }, 2, 1, { "z1" });
+  }
+  REQUIRE(f.output.toAgents.size() == 2);
+  for (const auto& sent : f.output.toAgents) {
+    CHECK(sent.message.kind == MessageKind::Probe);
+    CHECK(sent.message.isZoneEvacuated);
+    CHECK(sent.message.mapRevision == Steering::MapRevision{ 1, 2 });
+    CHECK(sent.to != Fixture::agent(3));
+  }
+  f.setTargets({ 1, 2, 3 }, 3, 1, { "z1" });
+  CHECK(f.output.toAgents.size() == 2);
+  f.sendData(7);
+  for (const auto& sent : f.output.toAgents) {
+    CHECK(sent.message.isZoneEvacuated == (sent.to != Fixture::agent(3)));
+  }
+  f.output.toAgents.clear();
+  f.setTargets({ 1, 2, 3 }, 4);
+  REQUIRE(f.output.toAgents.size() == 2);
+  CHECK_FALSE(f.output.toAgents[0].message.isZoneEvacuated);
+}
+
+// An agent that has not heard of the evacuation would accept a SYN.
+TEST_CASE("a balancer sends no new flow to an evacuated zone")
+{
+  Fixture f;
+  f.sendSyn(1);
+  const auto owner = f.lastForwardedTo();
+  REQUIRE(owner != Fixture::agent(3));
+  f.sendOwnerNotice(owner, 1, 500);
+  f.setTargets({ 1, 2, 3 }, 2, 1, { "z1" });
+  for (std::uint16_t caller = 2; caller < 20; ++caller) {
+    f.sendSyn(caller);
+    CHECK(f.lastForwardedTo() == Fixture::agent(3));
+  }
+  f.sendSyn(1, 1);
+  CHECK(f.lastForwardedTo() == owner);
+  CHECK(f.output.toAgents.back().message.isZoneEvacuated);
+  f.setTargets({ 1, 2, 3 }, 3);
+  f.sendSyn(20);
+  CHECK(f.lastForwardedTo() != Fixture::agent(3));
+}
+
+// Guards against a caller that waits although an agent has proved "not run".
+TEST_CASE("a flow rejected as evacuated tries the other targets at once")
+{
+  Fixture f;
+  f.sendSyn(1);
+  std::set<Core::Endpoint> triedAgents;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(f.output.toCallers.empty());
+    triedAgents.insert(f.lastForwardedTo());
+    f.rejectPacket(f.lastForwardedTo(),
+                   RejectReason::Evacuated,
+                   f.output.toAgents.back().body);
+  }
+  CHECK(triedAgents.size() == 3);
+  CHECK(f.output.toCallers.size() == 1);
+}
+
+TEST_CASE("new flows are refused at once if every target is evacuated")
+{
+  Fixture f(false);
+  f.steerer.setPlatformReachable(true);
+  f.sendSyn(1);
+  f.sendSyn(2);
+  CHECK(f.output.toCallers.empty());
+  f.setTargets({ 1, 2, 3 }, 2, 1, { "z1", "z2" });
+  CHECK(f.output.toCallers.size() == 2);
+  f.sendSyn(3);
+  CHECK(f.output.toCallers.size() == 3);
+  CHECK(f.lastForwardedTo().isNull());
+}
+
+// The target may own the flow, so a reset would not prove "not run".
+TEST_CASE("a flow is not refused while an evacuated target may own it")
+{
+  Fixture f;
+  f.sendSyn(1);
+  const auto agent = f.lastForwardedTo();
+  f.silentAgents.insert(agent);
+  f.setTargets({ 1, 2, 3 }, 2, 1, { "z1", "z2" });
+  f.wait(Steering::AgentLoadTable::kReplyTimeout + 10ms);
+  f.output.toAgents.clear();
+  CHECK(f.output.toCallers.empty());
+  f.now += 90ms;
+  f.sendSyn(1, 1);
+  CHECK(f.output.toCallers.empty());
+  REQUIRE(f.lastForwardedTo() == agent);
+  CHECK(f.output.toAgents.back().message.isZoneEvacuated);
+  const auto syn = f.output.toAgents.back().body;
+  SUBCASE("until its agent has replied that it does not")
+  {
+    f.fullHistoryAgents.insert(agent);
+    f.rejectPacket(agent, RejectReason::Evacuated, syn);
+    f.wait(20ms);
+    CHECK(f.output.toCallers.size() == 1);
+  }
+  SUBCASE("also if its agent was restarted and does not know it")
+  {
+    f.rejectPacket(agent, RejectReason::Evacuated, syn);
+    f.wait(20ms);
+    CHECK(f.output.toCallers.empty());
+  }
+}
+
+// Guards against a burst to few servers when the local zone is evacuated.
+TEST_CASE("flows of an evacuated zone spread over all targets of the others")
+{
+  constexpr std::uint8_t kTargetsPerZone = 8;
+  constexpr int kSlots = 4;
+  Fixture f(false);
+  Steering::FleetMapBuilder builder;
+  builder.revision({ 1, 1 }).evacuateZone("z1", { 1, 1 });
+  builder.route(Fixture::routeDeclaration());
+  for (std::uint8_t i = 0; i < 3 * kTargetsPerZone; ++i) {
+    Steering::Target target;
+    target.agent = Fixture::agent(i);
+    target.zone = "z" + std::to_string(1 + i / kTargetsPerZone);
+    target.slots = kSlots;
+    builder.target("red", target);
+  }
+  f.steerer.setMap(builder.build(), f.now);
+  for (std::uint8_t i = 0; i < 3 * kTargetsPerZone; ++i) {
+    // The report of an idle server, with the time that requests take there.
+    f.sendReport(Fixture::agent(i), 0);
+  }
+  f.output.toAgents.clear();
+  for (std::uint16_t i = 0; i < 2 * kTargetsPerZone * kSlots; ++i) {
+    f.sendSyn(i);
+  }
+  std::map<Core::Endpoint, int> counts;
+  for (const auto& sent : f.output.toAgents) {
+    ++counts[sent.to];
+  }
+  CHECK(counts.size() == 2 * kTargetsPerZone);
+  for (const auto& [agent, count] : counts) {
+    CHECK(count <= kSlots);
+  }
+}
--- a/tests/flowsimulation/faketarget.h
+++ b/tests/flowsimulation/faketarget.h
@@ -41,6 +41,11 @@
   std::vector<Bytes> takeDuePackets(Core::TimePoint aNow);
 
   bool ownsFlow(const Packet::FlowKey& aFlow) const;
+  /** Whether it owns the flow or has answered its SYN. */
+  bool knowsFlow(const Packet::FlowKey& aFlow) const
+  {
+    return mFlows.contains(aFlow);
+  }
   void setProcessingTime(Core::Duration aProcessingTime)
   {
     mProcessingTime = aProcessingTime;
--- a/tests/flowsimulation/flowschedule.cpp
+++ b/tests/flowsimulation/flowschedule.cpp
@@ -153,7 +153,7 @@
 
   void performRandomAction()
   {
-    switch (mRandom() % 11) {
+    switch (mRandom() % 12) {
       case 0:
         restartBalancer();
         break;
@@ -189,6 +189,9 @@
       case 10:
         terminateInSeries();
         break;
+      case 11:
+        evacuateOrReturn();
+        break;
     }
   }
 
@@ -267,6 +270,16 @@
     mSimulation.restoreStore(lostChanges);
   }
 
+  /** At times both zones are evacuated, so that nothing may be sent. */
+  void evacuateOrReturn()
+  {
+    const auto zone = mRandom() % FlowSimulation::kZoneCount;
+    const bool isEvacuated = !mSimulation.isEvacuated(zone);
+    recordAction(
+      absl::StrCat(isEvacuated ? "evacuate" : "take back", " zone ", zone));
+    mSimulation.setEvacuated(zone, isEvacuated);
+  }
+
   void pauseMapUpdates()
   {
     const auto name = pickName(mSimulation.balancerNames());
--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -151,6 +151,8 @@
   /** The announcement in the store; empty if there is none. */
   std::string announced;
   Core::TimePoint drainingSince{};
+  /** When the agent last started or was resumed. */
+  Core::TimePoint runningSince{};
   std::unique_ptr<AgentOutput> output;
   /** Null while the agent does not run. */
   std::unique_ptr<
@@ -299,6 +301,7 @@
 FlowSimulation::startAgent(const std::string& aTarget)
 {
   auto& node = *mTargetNodes.at(aTarget);
+  node.runningSince = mNow;
   node.controller = std::make_unique<
     Steering::AdmissionController<Platform::DatagramFormat, AgentOutput>>(
     *node.output,
@@ -344,6 +347,17 @@
   publishMap();
 }
 
+void
+FlowSimulation::resume(const std::string& aName)
+{
+  mSuspended.erase(aName);
+  mLastUnevenAt = mNow;
+  const auto it = mTargetNodes.find(aName);
+  if (it != mTargetNodes.end()) {
+    it->second->runningSince = mNow;
+  }
+}
+
 void
 FlowSimulation::setProcessingTime(const std::string& aTarget,
                                   Core::Duration aProcessingTime)
@@ -442,6 +456,25 @@
   }
 }
 
+void
+FlowSimulation::setEvacuated(std::size_t aZone, bool aIsEvacuated)
+{
+  mEvacuations[aZone] = { aIsEvacuated, mNow };
+  writeEvacuation(aZone);
+  publishMap();
+}
+
+void
+FlowSimulation::writeEvacuation(std::size_t aZone)
+{
+  const auto key = absl::StrCat(Platform::kEvacuationPrefix, "z", aZone);
+  if (mEvacuations[aZone].isEvacuated) {
+    mStore.put(key, "{}");
+  } else {
+    mStore.erase(key);
+  }
+}
+
 void
 FlowSimulation::promoteConfiguration()
 {
@@ -466,6 +499,11 @@
                        } });
   };
   scheduleRewrite([this] { writeConfiguration(); });
+  for (std::size_t zone = 0; zone < kZoneCount; ++zone) {
+    if (mEvacuations[zone].changedAt != Core::TimePoint{}) {
+      scheduleRewrite([this, zone] { writeEvacuation(zone); });
+    }
+  }
   for (auto& [name, node] : mTargetNodes) {
     scheduleRewrite([this, to = node.get()] { announce(*to); });
   }
@@ -808,6 +846,7 @@
       absl::StrCat("packet of another service delivered to ", aTarget));
   }
   checkDrain(node, aPacket);
+  checkEvacuation(node, aPacket);
   for (const auto& packet : node.target->handlePacket(aPacket, mNow)) {
     transmitFromTarget(aTarget, packet);
   }
@@ -863,6 +902,33 @@
   }
 }
 
+/**
+ * A target of an evacuated zone gets no SYN of a flow that it does not know
+ * once the bound has passed. An agent that was started or resumed since then
+ * may get one from a balancer that has an old map.
+ */
+void
+FlowSimulation::checkEvacuation(const TargetNode& aNode, const Bytes& aPacket)
+{
+  constexpr std::chrono::milliseconds kEvacuationBound{ 5'000 };
+  const auto& evacuation = mEvacuations[aNode.zone];
+  const auto packet = Platform::Datagram::parse(aPacket);
+  const bool isLate =
+    evacuation.isEvacuated && mNow - evacuation.changedAt > kEvacuationBound;
+  if (!isLate || !packet->isSyn() ||
+      aNode.target->knowsFlow(packet->flowFromCaller())) {
+    return;
+  }
+  const bool isEven = mSuspended.empty() && mMapUpdatesPaused.empty() &&
+                      mNow - mLastUnevenAt > kEvacuationBound;
+  if (isEven || aNode.runningSince < evacuation.changedAt) {
+    mViolations.push_back(absl::StrCat(sinceStart().count(),
+                                       " ms: new flow for ",
+                                       aNode.name,
+                                       " in an evacuated zone"));
+  }
+}
+
 void
 FlowSimulation::transmitFromTarget(const std::string& aTarget,
                                    const Bytes& aPacket)
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -104,11 +104,7 @@
    * retries them.
    */
   void suspend(const std::string& aName) { mSuspended.insert(aName); }
-  void resume(const std::string& aName)
-  {
-    mSuspended.erase(aName);
-    mLastUnevenAt = mNow;
-  }
+  void resume(const std::string& aName);
   /** The balancer keeps its current fleet map until updates are resumed. */
   void pauseMapUpdates(const std::string& aBalancer)
   {
@@ -120,6 +116,12 @@
    * and the operator write theirs again within two seconds.
    */
   void restoreStore(std::size_t aLostChanges);
+  /** Writes or removes the evacuation of a zone in the store. */
+  void setEvacuated(std::size_t aZone, bool aIsEvacuated);
+  bool isEvacuated(std::size_t aZone) const
+  {
+    return mEvacuations[aZone].isEvacuated;
+  }
   /** Publishes a new version of the configuration. */
   void promoteConfiguration();
   /** Ends a target and its agent; a new target of aService gets the address. */
@@ -208,6 +210,8 @@
   void mergeFromPeers(Balancer& aBalancer);
   void expireKeptEntries();
   void checkDrain(const TargetNode& aNode, const Bytes& aPacket);
+  void writeEvacuation(std::size_t aZone);
+  void checkEvacuation(const TargetNode& aNode, const Bytes& aPacket);
   void checkDelivery(const TargetNode& aNode, const Packet::FlowKey& aFlow);
   std::string createTarget(const std::string& aService, Core::Endpoint aAgent);
 
@@ -218,7 +222,16 @@
   Core::TimePoint mNow;
   std::uint64_t mDeliveryNumber = 0;
   Standins::StoreLog mStore;
+  /** What the operator wants for a zone. */
+  struct Evacuation
+  {
+    bool isEvacuated = false;
+    /** When the store acknowledged the last change. */
+    Core::TimePoint changedAt{};
+  };
+
   std::uint64_t mConfigurationVersion = 1;
+  std::array<Evacuation, kZoneCount> mEvacuations{};
   /** When a process last ran with an old map, or not at all. */
   Core::TimePoint mLastUnevenAt{};
   std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>>
--- a/tests/flowsimulation/tst_flowsimulation.cpp
+++ b/tests/flowsimulation/tst_flowsimulation.cpp
@@ -370,3 +370,37 @@
         simulation.callers().size());
   checkNoViolations(simulation);
 }
+
+// Guards against open flows that end with the evacuation, and against new ones
+// from a balancer that has not heard of it.
+TEST_CASE("an evacuated zone keeps its flows and gets no new ones")
+{
+  FlowSimulation simulation({});
+  auto& caller = simulation.openFlow("red", 0, 30, 300ms);
+  simulation.advance(200ms);
+  const auto owner = simulation.runs().front().target;
+  simulation.pauseMapUpdates("b1");
+  simulation.setEvacuated(0, true);
+  SUBCASE("a balancer does not follow the store") {}
+  SUBCASE("the store is restored from a copy without the evacuation")
+  {
+    simulation.advance(1s);
+    simulation.restoreStore(1);
+  }
+  // Longer than the bound of 5 s, after which new flows are violations.
+  openFlowsEvenly(simulation, 50, 7s);
+  simulation.advance(3s);
+  CHECK(caller.state() == FlowState::Closed);
+  CHECK(simulation.runs().back().target == owner);
+  CHECK(countFlows(simulation, FlowState::Closed) ==
+        simulation.callers().size());
+  simulation.resumeMapUpdates("b1");
+  simulation.setEvacuated(0, false);
+  const auto runCountBefore = simulation.runs().size();
+  openFlowsEvenly(simulation, 50, 1s);
+  CHECK(std::any_of(simulation.runs().begin() +
+                      static_cast<std::ptrdiff_t>(runCountBefore),
+                    simulation.runs().end(),
+                    [&](const auto& aRun) { return aRun.target == owner; }));
+  checkNoViolations(simulation);
+}
