Tests: Measure the bound of an evacuation from its last acknowledgement

Its trace: the store is restored from a copy without the entry at 11.9 s, and both balancers are killed and started until 12.5 s, so no process knows of the evacuation until the operator writes it again.

Change: the check does not apply while neither the store nor a running balancer has the entry, and the bound then begins with the operator's next write.

--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -464,6 +464,22 @@
   publishMap();
 }
 
+bool
+FlowSimulation::isEvacuationKnown(std::size_t aZone) const
+{
+  const auto key = absl::StrCat(Platform::kEvacuationPrefix, "z", aZone);
+  const auto items = mStore.items();
+  return std::any_of(items.begin(),
+                     items.end(),
+                     [&key](const auto& aItem) { return aItem.key == key; }) ||
+         std::any_of(
+           mBalancers.begin(), mBalancers.end(), [&key](const auto& aEntry) {
+             const auto& balancer = *aEntry.second;
+             return balancer.steerer != nullptr &&
+                    balancer.snapshot.find(key) != nullptr;
+           });
+}
+
 void
 FlowSimulation::writeEvacuation(std::size_t aZone)
 {
@@ -501,7 +517,12 @@
   scheduleRewrite([this] { writeConfiguration(); });
   for (std::size_t zone = 0; zone < kZoneCount; ++zone) {
     if (mEvacuations[zone].changedAt != Core::TimePoint{}) {
-      scheduleRewrite([this, zone] { writeEvacuation(zone); });
+      scheduleRewrite([this, zone] {
+        if (!isEvacuationKnown(zone)) {
+          mEvacuations[zone].changedAt = mNow;
+        }
+        writeEvacuation(zone);
+      });
     }
   }
   for (auto& [name, node] : mTargetNodes) {
@@ -913,8 +934,9 @@
   constexpr std::chrono::milliseconds kEvacuationBound{ 5'000 };
   const auto& evacuation = mEvacuations[aNode.zone];
   const auto packet = Platform::Datagram::parse(aPacket);
-  const bool isLate =
-    evacuation.isEvacuated && mNow - evacuation.changedAt > kEvacuationBound;
+  const bool isLate = evacuation.isEvacuated &&
+                      mNow - evacuation.changedAt > kEvacuationBound &&
+                      isEvacuationKnown(aNode.zone);
   if (!isLate || !packet->isSyn() ||
       aNode.target->knowsFlow(packet->flowFromCaller())) {
     return;
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -211,6 +211,8 @@
   void expireKeptEntries();
   void checkDrain(const TargetNode& aNode, const Bytes& aPacket);
   void writeEvacuation(std::size_t aZone);
+  /** Whether the store or a running balancer has the evacuation. */
+  bool isEvacuationKnown(std::size_t aZone) const;
   void checkEvacuation(const TargetNode& aNode, const Bytes& aPacket);
   void checkDelivery(const TargetNode& aNode, const Packet::FlowKey& aFlow);
   std::string createTarget(const std::string& aService, Core::Endpoint aAgent);
@@ -226,7 +228,11 @@
   struct Evacuation
   {
     bool isEvacuated = false;
-    /** When the store acknowledged the last change. */
+    /**
+     * When the store acknowledged the last change. If a restored store lacks it
+     * and no balancer that knows of it runs, it has no effect until the
+     * operator has written it again.
+     */
     Core::TimePoint changedAt{};
   };
 
