Steering: Serve requests by urgency, and refuse those that cannot be answered

Cause: under overload, agents and balancers serve requests newest first, whatever their priority, and keep requests until their callers have given up.

Change: ServiceOrder decides for the queues of agents and balancers: on time including the service time, then by class, each class at least a tenth. Agents do not deliver requests that cannot be answered in time, and admit without counting less urgent ones. Balancers keep their queue in order, refuse flows whose known wait is too long, and limit second attempts after rejections as full. All this applies to services whose routes have different priorities.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -181,9 +181,7 @@
     rejectUnansweredSyns(aNow);
     mFlows.expire(aNow);
     mHints.removeExpired(aNow);
-    for (const auto& key : mQueue.takeExpired(aNow)) {
-      mFlows.erase(key);
-    }
+    forgetExpired(aNow);
     deliverQueued(aNow);
     mLinks.reportLoadChanges(currentLoad(aNow), aNow);
   }
@@ -194,7 +192,7 @@
    */
   std::optional<std::chrono::milliseconds> timeUntilTick() const
   {
-    if (mPendingSyns.empty() && mQueue.isEmpty()) {
+    if (mPendingSyns.empty() && mQueue.isEmpty() && mGivenUpRequests.empty()) {
       return std::nullopt;
     }
     return kSynTimeout / 2;
@@ -212,11 +210,19 @@
     Bytes packet;
   };
 
+  /** A flow that was admitted and has not sent its first request yet. */
+  struct ExpectedRequest
+  {
+    Packet::FlowKey flow;
+    std::uint8_t priority = 0;
+  };
+
   void handleSyn(const Core::Endpoint& aFrom,
                  const AgentMessage& aMessage,
                  const PacketType& aPacket,
                  Core::TimePoint aNow)
   {
+    recordPriority(aMessage.priority);
     const auto key = aPacket.flowFromCaller();
     const bool isKnownFlow = mFlows.find(key) != nullptr;
     if (!isKnownFlow) {
@@ -245,8 +251,9 @@
     flow.wantsOwnerNotice = true;
     flow.waitingSince = aNow - aMessage.age;
     mFlows.setLongLived(flow, aMessage.isLongLived);
-    if (!isLate(aMessage)) {
+    if (waitingRequest(aMessage, aNow - aMessage.age).isOnTime(aNow)) {
       mFlows.expectRequest(key, flow, aNow);
+      rememberExpected(key, aMessage.priority);
     }
     if (!flow.isOpen()) {
       const auto bytes = aPacket.bytes();
@@ -255,9 +262,30 @@
     deliver(aFrom, aPacket);
   }
 
-  static bool isLate(const AgentMessage& aMessage)
+  /** Classes are told apart once two priorities have been seen. */
+  void recordPriority(std::uint8_t aPriority)
+  {
+    mMostUrgent = std::min(mMostUrgent, aPriority);
+    mLeastUrgent = std::max(mLeastUrgent, aPriority);
+  }
+
+  /**
+   * The service time is taken into account only if the service has requests of
+   * several priorities.
+   */
+  WaitingRequest waitingRequest(const AgentMessage& aMessage,
+                                Core::TimePoint aWaitingSince) const
   {
-    return aMessage.age >= aMessage.latencyObjective;
+    WaitingRequest request;
+    request.priority = aMessage.priority;
+    request.waitingSince = aWaitingSince;
+    request.lateAt = aWaitingSince + aMessage.latencyObjective;
+    request.expiresAt = aWaitingSince + aMessage.timeout;
+    if (mMostUrgent < mLeastUrgent) {
+      request.serviceTime = ServiceOrder::expectedServiceTime(
+        mFlows.serviceTime(), aMessage.latencyObjective);
+    }
+    return request;
   }
 
   /**
@@ -327,19 +355,50 @@
                                        : RejectReason::Full;
   }
 
-  /** True if a request of the flow would get a slot in time. */
-  bool hasCapacity(const AgentMessage& aMessage, Core::TimePoint aNow) const
+  /**
+   * True if a request of the flow would get a slot in time. Less urgent
+   * requests that have no slot yet do not count.
+   */
+  bool hasCapacity(const AgentMessage& aMessage, Core::TimePoint aNow)
   {
-    const auto onTime = mFlows.inProgress() + mQueue.onTimeCount(aNow);
-    if (!isLate(aMessage)) {
-      return estimatedQueueTime(onTime, mSlots, mFlows.serviceTime()) <=
-             maxQueueTime(aMessage.latencyObjective);
+    const auto request = waitingRequest(aMessage, aNow - aMessage.age);
+    const auto ahead = mFlows.inProgress() -
+                       lessUrgentExpected(aMessage.priority) +
+                       mQueue.countAhead(request, aNow);
+    const auto queueTime =
+      estimatedQueueTime(ahead, mSlots, mFlows.serviceTime());
+    return request.isOnTime(aNow)
+             ? queueTime <= maxQueueTime(aMessage.latencyObjective)
+             : request.isAnswerable(aNow + queueTime);
+  }
+
+  void rememberExpected(const Packet::FlowKey& aFlow, std::uint8_t aPriority)
+  {
+    const bool isRemembered = std::any_of(
+      mExpectedRequests.begin(),
+      mExpectedRequests.end(),
+      [&aFlow](const auto& aExpected) { return aExpected.flow == aFlow; });
+    if (!isRemembered) {
+      mExpectedRequests.push_back({ aFlow, aPriority });
     }
-    const auto allRequests =
-      mFlows.inProgress() + static_cast<std::uint32_t>(mQueue.size());
-    return estimatedQueueTime(allRequests, mSlots, mFlows.serviceTime()) +
-             aMessage.age <
-           aMessage.timeout;
+  }
+
+  /**
+   * Number of admitted flows of less urgent classes whose first request has not
+   * arrived yet. Their requests will be served after those of aPriority.
+   */
+  std::uint32_t lessUrgentExpected(std::uint8_t aPriority)
+  {
+    std::erase_if(mExpectedRequests, [this](const auto& aExpected) {
+      const auto* flow = mFlows.find(aExpected.flow);
+      return flow == nullptr || flow->request != RequestState::Expected;
+    });
+    return static_cast<std::uint32_t>(
+      std::count_if(mExpectedRequests.begin(),
+                    mExpectedRequests.end(),
+                    [aPriority](const auto& aExpected) {
+                      return aExpected.priority > aPriority;
+                    }));
   }
 
   void handleNonSyn(const Core::Endpoint& aFrom,
@@ -384,10 +443,16 @@
       }
       return;
     }
+    if (!isNewData && mGivenUpRequests.contains(aPacket.flowFromCaller())) {
+      return;
+    }
     const bool startsRequest =
       isNewData && aFlow.request != RequestState::Delivered;
     // Only requests of confirmed flows are queued. Other data must reach the
     // backend server, which returns it if it does not own the flow.
+    if (startsRequest) {
+      mGivenUpRequests.erase(aPacket.flowFromCaller());
+    }
     if (startsRequest && aFlow.isConfirmed && !hasFreeSlot()) {
       enqueue(aMessage, aPacket, aFlow, aNow);
       return;
@@ -413,9 +478,9 @@
     const bool isFirstRequest = aFlow.waitingSince != Core::TimePoint{};
     QueuedRequest request;
     request.flow = aPacket.flowFromCaller();
-    request.waitingSince = isFirstRequest ? aFlow.waitingSince : aNow;
-    request.lateAt = request.waitingSince + aMessage.latencyObjective;
-    request.expiresAt = request.waitingSince + aMessage.timeout;
+    recordPriority(aMessage.priority);
+    request.waiting =
+      waitingRequest(aMessage, isFirstRequest ? aFlow.waitingSince : aNow);
     request.packets.push_back(copyBytes(aPacket));
     mQueue.add(std::move(request));
     mFlows.markQueued(aFlow);
@@ -424,9 +489,48 @@
                   [&] { return flowFields(aPacket.flowFromCaller(), aNow); });
   }
 
+  /**
+   * Removes the queued requests that cannot be answered before their callers
+   * give up. Their flows stay open until then, since a caller whose flow is
+   * reset does not learn whether its request ran.
+   */
+  void giveUpUnanswerable(Core::TimePoint aNow)
+  {
+    for (const auto& request : mQueue.takeUnanswerable(aNow)) {
+      mCounters.increment(SteeringCounter::RequestsGivenUp);
+      mEvents.write(Telemetry::Event::RequestGivenUp, [&] {
+        return flowFields(request.flow, aNow)
+          .add("waitedMs",
+               std::chrono::duration_cast<std::chrono::milliseconds>(
+                 aNow - request.waiting.waitingSince));
+      });
+      auto* flow = mFlows.find(request.flow);
+      if (flow != nullptr) {
+        flow->request = RequestState::None;
+      }
+      mGivenUpRequests[request.flow] = request.waiting.expiresAt;
+    }
+  }
+
+  /** Removes the flows of given-up requests whose callers have left. */
+  void forgetExpired(Core::TimePoint aNow)
+  {
+    giveUpUnanswerable(aNow);
+    absl::erase_if(mGivenUpRequests, [this, aNow](const auto& aEntry) {
+      const auto* flow = mFlows.find(aEntry.first);
+      const bool hasExpired = aNow >= aEntry.second;
+      if (hasExpired && flow != nullptr &&
+          flow->request == RequestState::None) {
+        mFlows.erase(aEntry.first);
+      }
+      return hasExpired;
+    });
+  }
+
   /** Delivers queued requests while slots are free. */
   void deliverQueued(Core::TimePoint aNow)
   {
+    giveUpUnanswerable(aNow);
     while (hasFreeSlot() && !mQueue.isEmpty()) {
       const auto request = mQueue.takeNext(aNow);
       auto& flow = mFlows.touch(request->flow, aNow);
@@ -637,6 +741,11 @@
   OwnerHints mHints;
   RequestQueue mQueue;
   absl::flat_hash_map<Packet::FlowKey, PendingSyn> mPendingSyns;
+  std::vector<ExpectedRequest> mExpectedRequests;
+  /** When the callers of requests that are not delivered any more give up. */
+  absl::flat_hash_map<Packet::FlowKey, Core::TimePoint> mGivenUpRequests;
+  std::uint8_t mMostUrgent = std::numeric_limits<std::uint8_t>::max();
+  std::uint8_t mLeastUrgent = 0;
   std::uint32_t mSlots = 1;
   int mUnansweredSyns = 0;
   Core::TimePoint mLastRetryAt{};
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -84,6 +85,12 @@
   /** Identifies the service in messages; see FleetMap::serviceTag(). */
   std::uint32_t tag = 0;
   std::vector<Target> targets;
+  /** Range of the priorities of its routes. */
+  std::uint8_t mostUrgent = std::numeric_limits<std::uint8_t>::max();
+  std::uint8_t leastUrgent = 0;
+
+  /** Whether its routes have different priorities. */
+  bool hasPriorities() const { return mostUrgent < leastUrgent; }
 };
 
 /** How many requests a flow of a route carries. */
--- a/src/libs/steering/fleetmapbuilder.cpp
+++ b/src/libs/steering/fleetmapbuilder.cpp
@@ -97,6 +97,13 @@
 FleetMapPointer
 FleetMapBuilder::build()
 {
+  for (const auto& [address, route] : mMap->mRoutes) {
+    for (const auto& share : route.shares) {
+      auto& service = mMap->mServices[share.service];
+      service.mostUrgent = std::min(service.mostUrgent, route.priority);
+      service.leastUrgent = std::max(service.leastUrgent, route.priority);
+    }
+  }
   return std::exchange(mMap, std::make_shared<FleetMap>());
 }
 
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -1,13 +1,20 @@
 #pragma once
 
 #include "steering/pendingflows.h"
+#include "steering/queuedflows.h"
 #include "steering/queuetime.h"
+#include "steering/secondattemptbudget.h"
+#include "steering/serviceorder.h"
 #include "steering/steerercontext.h"
 #include "steering/targetselection.h"
+#include "steering/waitestimate.h"
 
-#include <absl/container/flat_hash_set.h>
+#include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -21,8 +28,13 @@
  *
  * A new flow goes to a target with a free slot. If there is none, it goes to a
  * target whose queue is short enough for a response on time. Otherwise the flow
- * is queued here. Flows that are still on time leave the queue first, starting
- * with the newest, since the others are late or soon will be.
+ * is queued here. The flows of a service leave the queue in the order of
+ * ServiceOrder.
+ *
+ * If the routes of a service have different priorities, the service time counts
+ * as part of the wait, flows that can no longer be answered before their caller
+ * gives up are refused, and second attempts after a rejection as full are
+ * limited.
  */
 template<PacketFormat Format, BalancerOutput Output>
 class FlowPlacement
@@ -101,7 +113,9 @@
       // The SYN was answered or sent to another agent in the meantime.
       return;
     }
-    pending->agent = {};
+    pending->wasFull = aReason == RejectReason::Full;
+    pending->mayBeAtTarget |= aReason == RejectReason::Unresponsive;
+    mPendingFlows.markQueued(*pending);
     placeFlow(*pending, aNow);
   }
 
@@ -118,27 +132,32 @@
   void retryQueued(Core::TimePoint aNow)
   {
     mLastRetryAt = aNow;
-    // If one on-time flow finds no target in a service, no other on-time flow
-    // will. Late flows may still be placed, so both are tracked separately.
-    absl::flat_hash_set<std::pair<const Service*, bool>> fullServices;
-    const auto objectiveOf = [this](const auto& aFlow) {
-      const auto* route = mContext.findRoute(aFlow);
-      return route == nullptr ? std::chrono::milliseconds(0)
-                              : route->latencyObjective;
-    };
-    for (const auto& [flow, isOnTime] :
-         mPendingFlows.queuedFlows(objectiveOf, aNow)) {
-      auto* pending = mPendingFlows.find(flow);
-      const auto key = std::make_pair(serviceOf(flow), isOnTime);
-      if (pending == nullptr || fullServices.contains(key)) {
+    if (mContext.map == nullptr) {
+      return;
+    }
+    mPendingFlows.removeEmptyAddresses();
+    // Ordered by index, so that services are served in the same order in every
+    // run.
+    std::map<std::size_t, std::vector<QueuedRoute>> services;
+    std::vector<Packet::FlowKey> withoutRoute;
+    for (const auto& [address, flows] : mPendingFlows.queuedFlows()) {
+      const auto* route = mContext.findRoute(flows.begin()->flow);
+      if (route == nullptr) {
+        for (const auto& queued : flows) {
+          withoutRoute.push_back(queued.flow);
+        }
         continue;
       }
-      placeFlow(*pending, aNow);
-      pending = mPendingFlows.find(flow);
-      if (pending != nullptr && pending->isQueued()) {
-        fullServices.insert(key);
+      for (const auto& share : route->shares) {
+        services[share.service].push_back({ route, &flows });
       }
     }
+    for (const auto& flow : withoutRoute) {
+      placeFlow(*mPendingFlows.find(flow), aNow);
+    }
+    for (const auto& [service, routes] : services) {
+      retryService(service, routes, aNow);
+    }
   }
 
   void tick(Core::TimePoint aNow)
@@ -174,13 +193,187 @@
   bool hasQueued() const { return mPendingFlows.queuedCount() > 0; }
 
 private:
-  const Service* serviceOf(const Packet::FlowKey& aFlow) const
+  /** Result of an attempt to place a flow. */
+  enum class Placement : std::uint8_t
   {
-    const auto* route = mContext.findRoute(aFlow);
-    if (route == nullptr) {
-      return nullptr;
+    Sent,
+    /** The flow was refused, or has no route. */
+    Removed,
+    /** No target has capacity for flows of this class. */
+    NoCapacity,
+    /** This flow waits, but others of its class may find a target. */
+    Deferred,
+  };
+
+  /** A route with queued flows. */
+  struct QueuedRoute
+  {
+    const Route* route = nullptr;
+    const QueuedFlowSet* flows = nullptr;
+  };
+
+  std::size_t serviceIndexOf(const Packet::FlowKey& aFlow,
+                             const Route& aRoute) const
+  {
+    return aRoute.shares.size() == 1 ? aRoute.shares.front().service
+                                     : selectService(aRoute, flowHash(aFlow));
+  }
+
+  /** Places the queued flows of one service while it has capacity. */
+  void retryService(std::size_t aServiceIndex,
+                    const std::vector<QueuedRoute>& aRoutes,
+                    Core::TimePoint aNow)
+  {
+    const auto& service = mContext.map->services()[aServiceIndex];
+    collectCandidates(service, {}, aNow);
+    const auto wait = currentWait(service, aNow);
+    std::vector<QueuedFlowCursor> cursors;
+    for (const auto& [route, flows] : aRoutes) {
+      refuseUnanswerable(service, *route, *flows, wait, aNow);
+      cursors.emplace_back(*flows, limitsOf(service, *route, wait, aNow), aNow);
+      skipOtherServices(cursors.back(), *route, aServiceIndex);
+    }
+    auto& order = mOrders[service.tag];
+    std::vector<WaitingRequest> heads;
+    std::vector<std::size_t> indexes;
+    while (true) {
+      heads.clear();
+      indexes.clear();
+      for (std::size_t i = 0; i < cursors.size(); ++i) {
+        if (!cursors[i].isAtEnd()) {
+          heads.push_back(cursors[i].request());
+          indexes.push_back(i);
+        }
+      }
+      if (heads.empty()) {
+        return;
+      }
+      const auto next = order.selectNext(heads, aNow);
+      auto& cursor = cursors[indexes[next]];
+      const auto result = placeFlow(*mPendingFlows.find(cursor.flow()), aNow);
+      if (result == Placement::NoCapacity) {
+        skipClasses(cursors, cursor.priority(), cursor.isOnTime());
+      } else {
+        cursor.advance();
+      }
+      if (result == Placement::Sent) {
+        order.recordServed(heads, next);
+      }
+      for (std::size_t i = 0; i < cursors.size(); ++i) {
+        skipOtherServices(cursors[i], *aRoutes[i].route, aServiceIndex);
+      }
+    }
+  }
+
+  /**
+   * If one flow finds no target in a service, no other flow of its class or of
+   * a less urgent one will. Late flows may find one if a flow on time does not.
+   */
+  static void skipClasses(std::vector<QueuedFlowCursor>& aCursors,
+                          std::uint8_t aPriority,
+                          bool aIsOnTime)
+  {
+    for (auto& cursor : aCursors) {
+      if (cursor.priority() < aPriority) {
+        continue;
+      }
+      if (aIsOnTime) {
+        cursor.skipOnTime();
+      } else if (!cursor.isOnTime()) {
+        cursor.skipAll();
+      }
+    }
+  }
+
+  void skipOtherServices(QueuedFlowCursor& aCursor,
+                         const Route& aRoute,
+                         std::size_t aServiceIndex) const
+  {
+    while (!aCursor.isAtEnd() &&
+           serviceIndexOf(aCursor.flow(), aRoute) != aServiceIndex) {
+      aCursor.advance();
     }
-    return &mContext.map->services()[selectService(*route, flowHash(aFlow))];
+  }
+
+  /** Only for services with priorities; no wait is known for others. */
+  WaitEstimate currentWait(const Service& aService, Core::TimePoint aNow) const
+  {
+    if (!aService.hasPriorities()) {
+      return {};
+    }
+    const auto targetCount = std::count_if(
+      aService.targets.begin(),
+      aService.targets.end(),
+      [aNow](const auto& aTarget) { return aTarget.acceptsNewFlows(aNow); });
+    return estimateWait(
+      mCandidates, static_cast<std::size_t>(targetCount), aNow);
+  }
+
+  static QueuedFlowLimits limitsOf(const Service& aService,
+                                   const Route& aRoute,
+                                   const WaitEstimate& aWait,
+                                   Core::TimePoint aNow)
+  {
+    QueuedFlowLimits limits;
+    limits.priority = aRoute.priority;
+    limits.latencyObjective = aRoute.latencyObjective;
+    limits.timeout = aRoute.timeout;
+    limits.serviceTime = ServiceOrder::expectedServiceTime(
+      aWait.serviceTime, aRoute.latencyObjective);
+    // Late flows of the least urgent class are served after all other requests,
+    // those of other classes after the ones that are on time.
+    const auto wait = aRoute.priority >= aService.leastUrgent
+                        ? aWait.behindAll
+                        : aWait.behindOnTime;
+    if (wait) {
+      limits.earliest = aNow + *wait + limits.serviceTime - aRoute.timeout;
+    }
+    return limits;
+  }
+
+  /** Whether a flow cannot be answered before its caller gives up. */
+  static bool isUnanswerable(const PendingFlow& aPending,
+                             const QueuedFlowLimits& aLimits,
+                             Core::TimePoint aNow)
+  {
+    const bool isLate = aNow + aLimits.serviceTime >=
+                        aPending.firstSentAt + aLimits.latencyObjective;
+    return isLate && aPending.firstSentAt < aLimits.earliest;
+  }
+
+  /** Refuses the flows that cannot be answered and that no target has. */
+  void refuseUnanswerable(const Service& aService,
+                          const Route& aRoute,
+                          const QueuedFlowSet& aFlows,
+                          const WaitEstimate& aWait,
+                          Core::TimePoint aNow)
+  {
+    const auto limits = limitsOf(aService, aRoute, aWait, aNow);
+    std::vector<Packet::FlowKey> refused;
+    for (const auto& queued : aFlows) {
+      const auto& pending = *mPendingFlows.find(queued.flow);
+      if (!isUnanswerable(pending, limits, aNow)) {
+        break;
+      }
+      const auto& service =
+        mContext.map->services()[serviceIndexOf(queued.flow, aRoute)];
+      if (&service == &aService && pending.isCertainlyNotRun(aNow)) {
+        refused.push_back(queued.flow);
+      }
+    }
+    for (const auto& flow : refused) {
+      refuseUnanswerable(*mPendingFlows.find(flow), aService);
+    }
+  }
+
+  void refuseUnanswerable(const PendingFlow& aPending, const Service& aService)
+  {
+    mContext.counters.increment(SteeringCounter::FlowsRefusedUnanswerable);
+    const auto packet = Format::parse(aPending.packet);
+    refuse(*packet,
+           aPending.flow,
+           aService,
+           "its caller gives up before it can be answered");
   }
 
   /** Excludes an agent that did not reply, so that another one is tried. */
@@ -195,65 +388,84 @@
     }
     mContext.flowCache.findOrInsert(aPending.flow, aNow)
       .excludedAgents.add(aPending.agent);
-    aPending.agent = {};
+    aPending.mayBeAtTarget = true;
+    aPending.wasFull = false;
+    mPendingFlows.markQueued(aPending);
   }
 
   /**
    * Sends the SYN to the best target, leaves it in the queue, or refuses the
    * flow.
    */
-  void placeFlow(PendingFlow& aPending, Core::TimePoint aNow)
+  Placement placeFlow(PendingFlow& aPending, Core::TimePoint aNow)
   {
     if (mContext.map == nullptr) {
-      return;
+      return Placement::NoCapacity;
     }
-    const auto packet = Format::parse(aPending.packet);
     const auto flow = aPending.flow;
     const auto* route = mContext.findRoute(flow);
     if (route == nullptr) {
       if (mContext.isMapCurrent()) {
-        mContext.resetUnknownFlow(*packet, "no route");
+        mContext.resetUnknownFlow(*Format::parse(aPending.packet), "no route");
       }
       mPendingFlows.erase(flow);
-      return;
+      return Placement::Removed;
     }
-    auto& cachedFlow = mContext.flowCache.findOrInsert(flow, aNow);
     const auto hash = flowHash(flow);
     const auto& service = mContext.map->services()[selectService(*route, hash)];
+    if (service.hasPriorities() && aPending.wasFull &&
+        !mSecondAttempts.isAvailable()) {
+      return Placement::Deferred;
+    }
+    auto& cachedFlow = mContext.flowCache.findOrInsert(flow, aNow);
     collectCandidates(service, cachedFlow, aNow);
     if (mCandidates.empty()) {
       if (isRejectedByAll(service, cachedFlow, aNow)) {
-        refuse(*packet, flow, service);
-        return;
+        refuse(*Format::parse(aPending.packet),
+               flow,
+               service,
+               "every target rejected it");
+        return Placement::Removed;
       }
       // Agents that did not reply may be tried again once they do.
       cachedFlow.excludedAgents = cachedFlow.rejectedBy;
     }
+    const auto limits =
+      limitsOf(service, *route, currentWait(service, aNow), aNow);
+    if (isUnanswerable(aPending, limits, aNow)) {
+      if (!aPending.isCertainlyNotRun(aNow)) {
+        return Placement::Deferred;
+      }
+      refuseUnanswerable(aPending, service);
+      return Placement::Removed;
+    }
     if (cachedFlow.fullRejections < kMaxFullRejections) {
-      sendToTarget(aPending, *packet, *route, cachedFlow, hash, aNow);
+      sendToTarget(aPending, service, *route, limits, cachedFlow, aNow);
     }
     cachedFlow.fullRejections =
       aPending.isQueued() ? 0 : cachedFlow.fullRejections;
+    return aPending.isQueued() ? Placement::NoCapacity : Placement::Sent;
   }
 
   void sendToTarget(PendingFlow& aPending,
-                    const PacketType& aPacket,
+                    const Service& aService,
                     const Route& aRoute,
+                    const QueuedFlowLimits& aLimits,
                     CachedFlow& aCachedFlow,
-                    std::uint64_t aHash,
                     Core::TimePoint aNow)
   {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       aNow - aPending.firstSentAt);
-    const auto* chosen = age < aRoute.latencyObjective
-                           ? selectForOnTimeFlow(aRoute, aHash)
-                           : selectForLateFlow(mCandidates);
+    const auto* chosen =
+      age + aLimits.serviceTime < aRoute.latencyObjective
+        ? selectForOnTimeFlow(aService, aRoute, flowHash(aPending.flow))
+        : selectForLateFlow(mCandidates);
     if (chosen == nullptr) {
       return;
     }
+    recordAttempt(aPending);
     aCachedFlow.agent = chosen->target->agent;
-    aPending.agent = aCachedFlow.agent;
-    aPending.forwardedAt = aNow;
+    mPendingFlows.markSent(aPending, aCachedFlow.agent, aNow);
     auto& counters = mContext.counters;
     counters.increment(SteeringCounter::FlowsChosen);
     counters.increment(SteeringCounter::FlowsAcrossZones,
@@ -262,7 +474,19 @@
     mContext.loads.expectReply(aCachedFlow.agent, aNow);
     mContext.loads.recordNewFlow(aCachedFlow.agent,
                                  aRoute.flowType == FlowType::ManyRequests);
-    mContext.forward(aPacket, aRoute, aCachedFlow, age);
+    mContext.forward(*Format::parse(aPending.packet), aRoute, aCachedFlow, age);
+  }
+
+  void recordAttempt(const PendingFlow& aPending)
+  {
+    if (!aPending.wasSent) {
+      mSecondAttempts.recordFirstAttempt();
+      return;
+    }
+    mContext.counters.increment(SteeringCounter::FlowsChosenAgain);
+    if (aPending.wasFull) {
+      mSecondAttempts.recordSecondAttempt();
+    }
   }
 
   void logPlacement(const Packet::FlowKey& aFlow,
@@ -291,7 +515,9 @@
   }
 
   /** A target that can respond on time; null if there is none. */
-  const Candidate* selectForOnTimeFlow(const Route& aRoute, std::uint64_t aHash)
+  const Candidate* selectForOnTimeFlow(const Service& aService,
+                                       const Route& aRoute,
+                                       std::uint64_t aHash)
   {
     mShortlist = shortlist(mCandidates, aHash);
     const auto* chosen = selectTarget(mShortlist, aRoute.flowType, aHash);
@@ -303,10 +529,22 @@
     }
     const bool isOnTime =
       chosen != nullptr &&
-      expectedQueueTime(*chosen) <= maxQueueTime(aRoute.latencyObjective);
+      expectedQueueTime(*chosen) <= maxReportedQueueTime(aService, aRoute);
     return isOnTime ? chosen : nullptr;
   }
 
+  /**
+   * Maximum queue time that a target may report to get a flow on time. Less
+   * urgent requests may be up to half of a longer queue, and the flow is served
+   * before them. The agent knows, and rejects the flow if it would wait.
+   */
+  static std::chrono::milliseconds maxReportedQueueTime(const Service& aService,
+                                                        const Route& aRoute)
+  {
+    const auto limit = maxQueueTime(aRoute.latencyObjective);
+    return aRoute.priority < aService.leastUrgent ? 2 * limit : limit;
+  }
+
   void collectCandidates(const Service& aService,
                          const CachedFlow& aCachedFlow,
                          Core::TimePoint aNow)
@@ -350,13 +588,14 @@
 
   void refuse(const PacketType& aPacket,
               const Packet::FlowKey& aFlow,
-              const Service& aService)
+              const Service& aService,
+              const char* aReason)
   {
     mContext.counters.increment(SteeringCounter::FlowsRefused);
     mContext.events.write(Telemetry::Event::FlowRefused, [&] {
       return mContext.flowFields(aFlow)
         .add("name", aService.name)
-        .add("why", "every target rejected it")
+        .add("why", aReason)
         .add("targets", aService.targets.size())
         .add("revision", formatMapRevision(mContext.map->revision()));
     });
@@ -384,6 +623,9 @@
 
   SteererContext<Format, Output>& mContext;
   PendingFlows mPendingFlows;
+  /** By the tag of the service. */
+  absl::flat_hash_map<std::uint32_t, ServiceOrder> mOrders;
+  SecondAttemptBudget mSecondAttempts;
   std::vector<Candidate> mCandidates;
   /** The candidates at which other balancers find the flow's owner quickly. */
   std::vector<Candidate> mShortlist;
--- a/src/libs/steering/pendingflows.cpp
+++ b/src/libs/steering/pendingflows.cpp
@@ -1,6 +1,9 @@
 #include "steering/pendingflows.h"
 
+#include "steering/fleetmap.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace Steering {
 
@@ -27,9 +30,12 @@
   }
   auto& pending = mPendingFlows[aFlow];
   pending.flow = aFlow;
+  pending.number = ++mLastNumber;
+  pending.mayBeAtTarget = aRetransmissionCount > 0;
   pending.packet.assign(aPacket.begin(), aPacket.end());
   pending.firstSentAt = aNow - mSchedule.age(aRetransmissionCount);
   recordRetransmission(pending, aRetransmissionCount, aNow);
+  addToQueue(pending);
   return &pending;
 }
 
@@ -41,17 +47,73 @@
   const auto allowedDelay = mSchedule.isLast(aRetransmissionCount)
                               ? std::chrono::milliseconds(0)
                               : kMaxRetransmissionDelay;
-  aPending.expiresAt =
-    aNow + mSchedule.timeToNext(aRetransmissionCount) + allowedDelay;
+  aPending.nextSynDueAt = aNow + mSchedule.timeToNext(aRetransmissionCount);
+  aPending.expiresAt = aPending.nextSynDueAt + allowedDelay;
+}
+
+void
+PendingFlows::markSent(PendingFlow& aPending,
+                       const Core::Endpoint& aAgent,
+                       Core::TimePoint aNow)
+{
+  removeFromQueue(aPending);
+  aPending.agent = aAgent;
+  aPending.forwardedAt = aNow;
+  aPending.wasSent = true;
+}
+
+void
+PendingFlows::markQueued(PendingFlow& aPending)
+{
+  aPending.agent = {};
+  addToQueue(aPending);
+}
+
+void
+PendingFlows::erase(const Packet::FlowKey& aFlow)
+{
+  const auto it = mPendingFlows.find(aFlow);
+  if (it != mPendingFlows.end()) {
+    removeFromQueue(it->second);
+    mPendingFlows.erase(it);
+  }
+}
+
+void
+PendingFlows::addToQueue(const PendingFlow& aPending)
+{
+  const bool isNew =
+    mQueuedFlows[endpointKey(aPending.flow.service)]
+      .insert({ aPending.firstSentAt, aPending.number, aPending.flow })
+      .second;
+  mQueuedCount += isNew ? 1 : 0;
+}
+
+void
+PendingFlows::removeFromQueue(const PendingFlow& aPending)
+{
+  const auto it = mQueuedFlows.find(endpointKey(aPending.flow.service));
+  if (it != mQueuedFlows.end()) {
+    mQueuedCount -= it->second.erase(
+      { aPending.firstSentAt, aPending.number, aPending.flow });
+  }
+}
+
+void
+PendingFlows::removeEmptyAddresses()
+{
+  std::erase_if(mQueuedFlows,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
 std::vector<PendingFlow>
 PendingFlows::takeExpired(Core::TimePoint aNow)
 {
   std::vector<PendingFlow> expired;
-  absl::erase_if(mPendingFlows, [&expired, aNow](auto& aEntry) {
+  absl::erase_if(mPendingFlows, [this, &expired, aNow](auto& aEntry) {
     const bool isExpired = aNow >= aEntry.second.expiresAt;
     if (isExpired) {
+      removeFromQueue(aEntry.second);
       expired.push_back(std::move(aEntry.second));
     }
     return isExpired;
@@ -63,57 +125,23 @@
 PendingFlows::unansweredFlows(std::chrono::milliseconds aTimeout,
                               Core::TimePoint aNow) const
 {
-  std::vector<Packet::FlowKey> flows;
+  std::vector<std::pair<std::uint64_t, Packet::FlowKey>> unanswered;
   for (const auto& [flow, pending] : mPendingFlows) {
     if (!pending.isQueued() && aNow - pending.forwardedAt >= aTimeout) {
-      flows.push_back(flow);
-    }
-  }
-  return flows;
-}
-
-std::vector<PendingFlows::QueuedFlow>
-PendingFlows::queuedFlows(const ObjectiveFunction& aObjectiveOf,
-                          Core::TimePoint aNow) const
-{
-  struct RankedFlow
-  {
-    const PendingFlow* pending;
-    bool isOnTime;
-  };
-  std::vector<RankedFlow> ranked;
-  for (const auto& [flow, pending] : mPendingFlows) {
-    if (pending.isQueued()) {
-      ranked.push_back(
-        { &pending, aNow - pending.firstSentAt < aObjectiveOf(flow) });
+      unanswered.emplace_back(pending.number, flow);
     }
   }
-  std::sort(ranked.begin(),
-            ranked.end(),
-            [](const RankedFlow& aLeft, const RankedFlow& aRight) {
-              if (aLeft.isOnTime != aRight.isOnTime) {
-                return aLeft.isOnTime;
-              }
-              return aLeft.isOnTime ? aLeft.pending->firstSentAt >
-                                        aRight.pending->firstSentAt
-                                    : aLeft.pending->firstSentAt <
-                                        aRight.pending->firstSentAt;
+  std::sort(unanswered.begin(),
+            unanswered.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.first < aRight.first;
             });
-  std::vector<QueuedFlow> flows;
-  flows.reserve(ranked.size());
-  for (const auto& rankedFlow : ranked) {
-    flows.push_back({ rankedFlow.pending->flow, rankedFlow.isOnTime });
+  std::vector<Packet::FlowKey> flows;
+  flows.reserve(unanswered.size());
+  for (const auto& [number, flow] : unanswered) {
+    flows.push_back(flow);
   }
   return flows;
 }
 
-std::size_t
-PendingFlows::queuedCount() const
-{
-  return static_cast<std::size_t>(std::count_if(
-    mPendingFlows.begin(), mPendingFlows.end(), [](const auto& aEntry) {
-      return aEntry.second.isQueued();
-    }));
-}
-
 } // namespace Steering
--- a/src/libs/steering/pendingflows.h
+++ b/src/libs/steering/pendingflows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/queuedflows.h"
 #include "steering/retransmissionschedule.h"
 
 #include "core/clock.h"
@@ -11,7 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <vector>
 
 namespace Steering {
@@ -20,6 +21,8 @@
 struct PendingFlow
 {
   Packet::FlowKey flow;
+  /** Order of arrival. */
+  std::uint64_t number = 0;
   std::vector<std::uint8_t> packet;
   /** When the caller sent the first SYN. */
   Core::TimePoint firstSentAt{};
@@ -28,11 +31,30 @@
    * balancer before.
    */
   Core::TimePoint expiresAt{};
+  /**
+   * When the caller's next SYN is due; the time of expiry if there is none.
+   * Without it, another balancer may have the flow.
+   */
+  Core::TimePoint nextSynDueAt{};
   /** When the SYN was sent to the agent. */
   Core::TimePoint forwardedAt{};
   /** The agent that has to reply; null while the flow is queued. */
   Core::Endpoint agent;
+  /** The SYN was sent to a target, which rejected it or did not reply. */
+  bool wasSent = false;
+  /** The last target was full. */
+  bool wasFull = false;
+  /**
+   * A backend server may have the SYN: an agent did not reply, its backend
+   * server did not answer, or another balancer had an earlier SYN.
+   */
+  bool mayBeAtTarget = false;
 
+  /** Whether it is certain that no target has the SYN or will get it. */
+  bool isCertainlyNotRun(Core::TimePoint aNow) const
+  {
+    return isQueued() && !mayBeAtTarget && aNow < nextSynDueAt;
+  }
   bool isQueued() const { return agent.isNull(); }
 };
 
@@ -69,7 +91,13 @@
   void recordRetransmission(PendingFlow& aPending,
                             std::uint32_t aRetransmissionCount,
                             Core::TimePoint aNow) const;
-  void erase(const Packet::FlowKey& aFlow) { mPendingFlows.erase(aFlow); }
+  /** Records that the SYN is sent to an agent. */
+  void markSent(PendingFlow& aPending,
+                const Core::Endpoint& aAgent,
+                Core::TimePoint aNow);
+  /** Queues a flow whose agent rejected it or did not reply. */
+  void markQueued(PendingFlow& aPending);
+  void erase(const Packet::FlowKey& aFlow);
   std::size_t size() const { return mPendingFlows.size(); }
   bool isEmpty() const { return mPendingFlows.empty(); }
 
@@ -81,29 +109,22 @@
   std::vector<Packet::FlowKey> unansweredFlows(
     std::chrono::milliseconds aTimeout,
     Core::TimePoint aNow) const;
-  /**
-   * Returns the latency objective of a flow. A queued flow that is older is
-   * late.
-   */
-  using ObjectiveFunction =
-    std::function<std::chrono::milliseconds(const Packet::FlowKey&)>;
-  struct QueuedFlow
-  {
-    Packet::FlowKey flow;
-    /** The flow can still get a response within its latency objective. */
-    bool isOnTime = false;
-  };
-  /**
-   * The queued flows: first those on time, the newest first; then the late
-   * ones, the oldest first.
-   */
-  std::vector<QueuedFlow> queuedFlows(const ObjectiveFunction& aObjectiveOf,
-                                      Core::TimePoint aNow) const;
-  std::size_t queuedCount() const;
+  /** The queued flows by the endpointKey() of their service address. */
+  using QueuedByAddress = std::map<std::uint64_t, QueuedFlowSet>;
+  const QueuedByAddress& queuedFlows() const { return mQueuedFlows; }
+  /** Removes the addresses without queued flows. Ends all cursors. */
+  void removeEmptyAddresses();
+  std::size_t queuedCount() const { return mQueuedCount; }
 
 private:
+  void addToQueue(const PendingFlow& aPending);
+  void removeFromQueue(const PendingFlow& aPending);
+
   RetransmissionSchedule mSchedule;
   absl::flat_hash_map<Packet::FlowKey, PendingFlow> mPendingFlows;
+  QueuedByAddress mQueuedFlows;
+  std::size_t mQueuedCount = 0;
+  std::uint64_t mLastNumber = 0;
 };
 
 } // namespace Steering
--- a/src/libs/steering/requestqueue.cpp
+++ b/src/libs/steering/requestqueue.cpp
@@ -1,32 +1,16 @@
 #include "steering/requestqueue.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <algorithm>
 #include <utility>
 
 namespace Steering {
 
-namespace {
-
-/** True if aLeft is served before aRight. */
-bool
-isServedBefore(const QueuedRequest& aLeft,
-               const QueuedRequest& aRight,
-               Core::TimePoint aNow)
-{
-  const bool isLeftOnTime = aNow < aLeft.lateAt;
-  const bool isRightOnTime = aNow < aRight.lateAt;
-  if (isLeftOnTime != isRightOnTime) {
-    return isLeftOnTime;
-  }
-  return isLeftOnTime ? aLeft.waitingSince > aRight.waitingSince
-                      : aLeft.waitingSince < aRight.waitingSince;
-}
-
-} // namespace
-
 void
 RequestQueue::add(QueuedRequest aRequest)
 {
+  aRequest.waiting.number = ++mLastNumber;
   const auto flow = aRequest.flow;
   mRequests[flow] = std::move(aRequest);
 }
@@ -45,32 +29,51 @@
 std::optional<QueuedRequest>
 RequestQueue::takeNext(Core::TimePoint aNow)
 {
-  const auto next =
-    std::min_element(mRequests.begin(),
-                     mRequests.end(),
-                     [aNow](const auto& aLeft, const auto& aRight) {
-                       return isServedBefore(aLeft.second, aRight.second, aNow);
-                     });
-  if (next == mRequests.end()) {
+  if (mRequests.empty()) {
     return std::nullopt;
   }
-  auto request = std::move(next->second);
-  mRequests.erase(next);
+  constexpr std::size_t kUsualClassCount = 4;
+  absl::InlinedVector<WaitingRequest, kUsualClassCount> heads;
+  absl::InlinedVector<Packet::FlowKey, kUsualClassCount> flows;
+  for (const auto& [flow, request] : mRequests) {
+    const auto& waiting = request.waiting;
+    const auto head =
+      std::find_if(heads.begin(), heads.end(), [&waiting](const auto& aHead) {
+        return aHead.priority == waiting.priority;
+      });
+    if (head == heads.end()) {
+      heads.push_back(waiting);
+      flows.push_back(flow);
+    } else if (ServiceOrder::isServedBefore(waiting, *head, aNow)) {
+      *head = waiting;
+      flows[static_cast<std::size_t>(head - heads.begin())] = flow;
+    }
+  }
+  const auto next = mOrder.selectNext(heads, aNow);
+  mOrder.recordServed(heads, next);
+  const auto it = mRequests.find(flows[next]);
+  auto request = std::move(it->second);
+  mRequests.erase(it);
   return request;
 }
 
-std::vector<Packet::FlowKey>
-RequestQueue::takeExpired(Core::TimePoint aNow)
+std::vector<QueuedRequest>
+RequestQueue::takeUnanswerable(Core::TimePoint aNow)
 {
-  std::vector<Packet::FlowKey> flows;
-  absl::erase_if(mRequests, [&flows, aNow](const auto& aEntry) {
-    const bool isExpired = aNow >= aEntry.second.expiresAt;
-    if (isExpired) {
-      flows.push_back(aEntry.first);
+  std::vector<QueuedRequest> requests;
+  absl::erase_if(mRequests, [&requests, aNow](auto& aEntry) {
+    const bool isAnswerable = aEntry.second.waiting.isAnswerable(aNow);
+    if (!isAnswerable) {
+      requests.push_back(std::move(aEntry.second));
     }
-    return isExpired;
+    return !isAnswerable;
   });
-  return flows;
+  std::sort(requests.begin(),
+            requests.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return aLeft.waiting.number < aRight.waiting.number;
+            });
+  return requests;
 }
 
 std::uint32_t
@@ -78,8 +81,26 @@
 {
   return static_cast<std::uint32_t>(std::count_if(
     mRequests.begin(), mRequests.end(), [aNow](const auto& aEntry) {
-      return aNow < aEntry.second.lateAt;
+      return aEntry.second.waiting.isOnTime(aNow);
     }));
 }
 
+std::uint32_t
+RequestQueue::countAhead(const WaitingRequest& aNew, Core::TimePoint aNow) const
+{
+  const bool isNewOnTime = aNew.isOnTime(aNow);
+  std::uint32_t ahead = 0;
+  std::uint32_t ownClass = 0;
+  for (const auto& [flow, request] : mRequests) {
+    const auto& waiting = request.waiting;
+    const bool isOnTime = waiting.isOnTime(aNow);
+    const bool isUrgent = waiting.priority <= aNew.priority;
+    const bool isAhead =
+      isNewOnTime ? isOnTime && isUrgent : isOnTime || isUrgent;
+    ahead += isAhead ? 1 : 0;
+    ownClass += isAhead && waiting.priority == aNew.priority ? 1 : 0;
+  }
+  return std::min(ahead, ServiceOrder::kShareInterval * (ownClass + 1U));
+}
+
 } // namespace Steering
--- a/src/libs/steering/requestqueue.h
+++ b/src/libs/steering/requestqueue.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "steering/serviceorder.h"
+
 #include "core/clock.h"
 #include "packet/flowkey.h"
 
 #include <absl/container/flat_hash_map.h>
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -19,22 +20,16 @@
 struct QueuedRequest
 {
   Packet::FlowKey flow;
-  /** Start of the caller's waiting time, as far as known. */
-  Core::TimePoint waitingSince{};
-  /** End of the latency objective; an answer after this is late. */
-  Core::TimePoint lateAt{};
-  /** Time at which the caller gives up. */
-  Core::TimePoint expiresAt{};
+  /** The queue sets the number. */
+  WaitingRequest waiting;
   /** The caller's packets in order of arrival. */
   std::vector<std::vector<std::uint8_t>> packets;
 };
 
 /**
- * Queues requests under overload until a slot is free. Requests that can still
- * be answered on time are served before late ones. Among those on time, the
- * newest is served first: while requests arrive faster than they are served,
- * the older ones will be late in any case. Late requests are served oldest
- * first. Used by one thread.
+ * Queues requests under overload until a slot is free, and serves them in the
+ * order of ServiceOrder. Its operations are linear in the number of requests,
+ * which is in the hundreds. Used by one thread.
  */
 class RequestQueue
 {
@@ -56,17 +51,27 @@
   std::optional<QueuedRequest> takeNext(Core::TimePoint aNow);
   void erase(const Packet::FlowKey& aFlow) { mRequests.erase(aFlow); }
   /**
-   * Removes the requests whose callers have given up and returns their flows.
+   * Removes and returns the requests that cannot be answered before their
+   * callers give up, in order of arrival.
    */
-  std::vector<Packet::FlowKey> takeExpired(Core::TimePoint aNow);
+  std::vector<QueuedRequest> takeUnanswerable(Core::TimePoint aNow);
 
   bool isEmpty() const { return mRequests.empty(); }
   std::size_t size() const { return mRequests.size(); }
   /** Number of requests that can still be answered on time. */
   std::uint32_t onTimeCount(Core::TimePoint aNow) const;
+  /**
+   * Number of requests that count against a new one: those of its class and of
+   * more urgent ones, and all that are on time if it is late. Late requests do
+   * not count if it is on time. The share of its class limits the number.
+   */
+  std::uint32_t countAhead(const WaitingRequest& aNew,
+                           Core::TimePoint aNow) const;
 
 private:
   absl::flat_hash_map<Packet::FlowKey, QueuedRequest> mRequests;
+  ServiceOrder mOrder;
+  std::uint64_t mLastNumber = 0;
 };
 
 } // namespace Steering
--- /dev/null
+++ b/src/libs/steering/serviceorder.cpp
@@ -0,0 +1,72 @@
+#include "steering/serviceorder.h"
+
+#include <algorithm>
+#include <bitset>
+
+namespace Steering {
+
+bool
+ServiceOrder::isServedBefore(const WaitingRequest& aLeft,
+                             const WaitingRequest& aRight,
+                             Core::TimePoint aNow)
+{
+  const bool isOnTime = aLeft.isOnTime(aNow);
+  if (isOnTime != aRight.isOnTime(aNow)) {
+    return isOnTime;
+  }
+  if (aLeft.priority != aRight.priority) {
+    return aLeft.priority < aRight.priority;
+  }
+  if (aLeft.waitingSince != aRight.waitingSince) {
+    return isOnTime == (aLeft.waitingSince > aRight.waitingSince);
+  }
+  return isOnTime == (aLeft.number > aRight.number);
+}
+
+std::size_t
+ServiceOrder::selectNext(absl::Span<const WaitingRequest> aHeads,
+                         Core::TimePoint aNow) const
+{
+  const auto next = std::min_element(
+    aHeads.begin(),
+    aHeads.end(),
+    [this, aNow](const auto& aLeft, const auto& aRight) {
+      const auto leftWait = mSlotsSinceService[aLeft.priority];
+      const auto rightWait = mSlotsSinceService[aRight.priority];
+      const bool isShareOfAny =
+        isShareDue(aLeft.priority) || isShareDue(aRight.priority);
+      if (isShareOfAny && leftWait != rightWait) {
+        return leftWait > rightWait;
+      }
+      return isServedBefore(aLeft, aRight, aNow);
+    });
+  return static_cast<std::size_t>(next - aHeads.begin());
+}
+
+void
+ServiceOrder::recordServed(absl::Span<const WaitingRequest> aHeads,
+                           std::size_t aServed)
+{
+  const auto servedPriority = aHeads[aServed].priority;
+  std::bitset<kClassCount> isWaiting;
+  for (const auto& head : aHeads) {
+    isWaiting.set(head.priority);
+  }
+  for (const auto& head : aHeads) {
+    auto& slots = mSlotsSinceService[head.priority];
+    const bool isCounted = isWaiting.test(head.priority) &&
+                           slots < std::numeric_limits<std::uint8_t>::max();
+    slots += isCounted ? 1 : 0;
+    isWaiting.reset(head.priority);
+  }
+  mSlotsSinceService[servedPriority] = 0;
+}
+
+std::chrono::milliseconds
+ServiceOrder::expectedServiceTime(std::chrono::milliseconds aMean,
+                                  std::chrono::milliseconds aLatencyObjective)
+{
+  return std::min(aMean, aLatencyObjective / 2);
+}
+
+} // namespace Steering
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -36,6 +36,9 @@
   LoadReports,
   OwnerQueries,
   BytesToAgents,
+  RequestsGivenUp,
+  FlowsRefusedUnanswerable,
+  FlowsChosenAgain,
   Count,
 };
 
