--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -414,7 +414,7 @@
     const auto hash = flowHash(flow);
     const auto& service = mContext.map->services()[selectService(*route, hash)];
     if (service.hasPriorities() && aPending.wasFull &&
-        !mSecondAttempts.isAvailable()) {
+        !mSecondAttempts.isAvailable(route->priority >= service.leastUrgent)) {
       return Placement::Deferred;
     }
     auto& cachedFlow = mContext.flowCache.findOrInsert(flow, aNow);
--- a/src/libs/steering/queuedflows.h
+++ b/src/libs/steering/queuedflows.h
@@ -45,9 +45,9 @@
 };
 
 /**
- * Walks the queued flows of a route in the order of ServiceOrder: first those
- * on time, the newest first, then the late ones, the oldest first. The set may
- * change during the walk. Each step takes logarithmic time.
+ * Walks the queued flows of a route: first those on time, the newest first,
+ * because the wait at a target is still to come; then the late ones, the oldest
+ * first. The set may change during the walk. Each step takes logarithmic time.
  */
 class QueuedFlowCursor
 {
--- a/src/libs/steering/serviceorder.cpp
+++ b/src/libs/steering/serviceorder.cpp
@@ -17,10 +17,15 @@
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority < aRight.priority;
   }
+  // An agent that has just started may have both kinds in its queue.
+  if (aLeft.hasServiceTime() != aRight.hasServiceTime()) {
+    return aRight.hasServiceTime();
+  }
+  const bool isNewestFirst = isOnTime && !aLeft.hasServiceTime();
   if (aLeft.waitingSince != aRight.waitingSince) {
-    return isOnTime == (aLeft.waitingSince > aRight.waitingSince);
+    return isNewestFirst == (aLeft.waitingSince > aRight.waitingSince);
   }
-  return isOnTime == (aLeft.number > aRight.number);
+  return isNewestFirst == (aLeft.number > aRight.number);
 }
 
 std::size_t
@@ -66,7 +71,7 @@
 ServiceOrder::expectedServiceTime(std::chrono::milliseconds aMean,
                                   std::chrono::milliseconds aLatencyObjective)
 {
-  return std::min(aMean, aLatencyObjective / 2);
+  return std::min(aMean * 5 / 4, aLatencyObjective / 2);
 }
 
 } // namespace Steering
--- a/src/libs/steering/serviceorder.h
+++ b/src/libs/steering/serviceorder.h
@@ -23,11 +23,12 @@
   Core::TimePoint lateAt{};
   /** Time at which the caller gives up. */
   Core::TimePoint expiresAt{};
-  /** Expected time from the delivery to the answer. */
+  /** Expected time from the delivery to the answer; 0 if not considered. */
   std::chrono::milliseconds serviceTime{ 0 };
   /** Order of arrival; unique within a queue. Breaks ties. */
   std::uint64_t number = 0;
 
+  bool hasServiceTime() const { return serviceTime.count() > 0; }
   /** Whether the answer would arrive within the latency objective. */
   bool isOnTime(Core::TimePoint aNow) const
   {
@@ -45,9 +46,10 @@
  *
  * - Requests that can still be answered on time come before late ones.
  * - Among these, the more urgent class comes first.
- * - Within a class, requests on time are served newest first: while requests
- *   arrive faster than they are served, the older ones will be late in any
- *   case. Late requests are served oldest first.
+ * - Within a class, the oldest request comes first: it was selected because it
+ *   can still be answered on time, while newer ones have more time left. If the
+ *   service time is not considered, the newest of those on time comes first:
+ *   the older ones may be late in any case.
  * - A waiting class that got none of the last kShareInterval - 1 slots gets the
  *   next one.
  *
@@ -81,9 +83,10 @@
 
   /**
    * The service time to expect of a request when the mean of its server is
-   * aMean: at most half of the latency objective. A server whose mean was
-   * raised by a suspension would otherwise get no request from which a lower
-   * mean could be learned.
+   * aMean. A quarter is added for the latency to the caller, which neither
+   * agents nor balancers measure. The result is at most half of the latency
+   * objective, since a server whose mean was raised by a suspension would
+   * otherwise get no request from which a lower mean could be learned.
    */
   static std::chrono::milliseconds expectedServiceTime(
     std::chrono::milliseconds aMean,
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -73,6 +73,7 @@
     message.timeout = 2'000ms;
     message.wantsOwnerNotice = aWantsOwnerNotice;
     message.isLongLived = isLongLived;
+    message.priority = priority;
     message.serviceTag = Steering::FleetMap::serviceTag(aService);
     message.slots = 2;
     Bytes bytes;
@@ -144,6 +145,7 @@
   Telemetry::HistogramSet histograms;
   Core::TimePoint now{ 100s };
   bool isLongLived = false;
+  std::uint8_t priority = 0;
   /**
    * A request may be queued for a third of this, less than the 25 ms that it
    * would have to wait with both slots in use.
@@ -378,6 +380,61 @@
   CHECK(f.controller.queuedRequests() == 0);
 }
 
+TEST_CASE("a request that cannot be answered in time gets no slot, and its "
+          "flow is not reset")
+{
+  Fixture f;
+  fillSlots(f);
+  f.startRequest(4);
+  f.priority = 1;
+  f.startRequest(5);
+  const auto toCallersBefore = f.output.toCallers.size();
+  // With the initial service time of 50 ms, caller 5 cannot be answered.
+  f.now += 1'950ms;
+  f.sendAnswer(1);
+  CHECK(lastDeliveredCaller(f) == 4);
+  CHECK(f.controller.queuedRequests() == 0);
+  CHECK(f.output.toCallers.size() == toCallersBefore + 1);
+  SUBCASE("its retransmission is not delivered either")
+  {
+    const auto deliveredBefore = f.output.delivered.size();
+    f.forward(Fixture::dataPacket(5, 1));
+    CHECK(f.output.delivered.size() == deliveredBefore);
+  }
+  SUBCASE("its flow is forgotten when the caller has given up")
+  {
+    const auto flowsBefore = f.controller.openFlows();
+    f.now += 50ms;
+    f.controller.tick(f.now);
+    CHECK(f.controller.openFlows() == flowsBefore - 1);
+  }
+}
+
+TEST_CASE("less urgent requests do not keep a more urgent one from being "
+          "admitted")
+{
+  Fixture f;
+  f.priority = 1;
+  fillSlots(f);
+  f.startRequest(4);
+  f.startRequest(5);
+  // Admitted, but without a request yet.
+  f.forward(Fixture::synPacket(6));
+  REQUIRE(f.rejections().empty());
+  f.forward(Fixture::synPacket(7));
+  REQUIRE(f.rejections().size() == 1);
+  f.priority = 0;
+  f.forward(Fixture::synPacket(8));
+  CHECK(f.rejections().size() == 1);
+  SUBCASE("and it is served first")
+  {
+    f.sendSynAck(8);
+    f.forward(Fixture::dataPacket(8, 1));
+    f.sendAnswer(1);
+    CHECK(lastDeliveredCaller(f) == 8);
+  }
+}
+
 TEST_CASE("data of an unconfirmed flow is never queued")
 {
   Fixture f;
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -84,7 +84,14 @@
       target.slots = 4;
       builder.target("red", target);
     }
-    builder.route(routeDeclaration());
+    auto route = routeDeclaration();
+    if (hasPriorities) {
+      route.route.priority = 1;
+      auto urgent = routeDeclaration();
+      ++urgent.address.port;
+      builder.route(urgent);
+    }
+    builder.route(route);
     steerer.setMap(builder.build(), now);
   }
 
@@ -282,6 +289,8 @@
   Telemetry::EventLog events;
   Core::TimePoint now{ 100s };
   std::uint32_t acknowledgment = 0;
+  /** Whether there is a second route that is more urgent. */
+  bool hasPriorities = false;
   std::set<Core::Endpoint> silentAgents;
   std::set<Core::Endpoint> fullHistoryAgents;
   Steering::FlowSteerer<Test::TestFormat, FakeOutput> steerer;
@@ -378,6 +387,86 @@
   CHECK(f.output.toAgents[0].message.age == 300ms);
 }
 
+TEST_CASE("a queued flow is refused once its caller will give up before it can "
+          "be answered, if no target can have it")
+{
+  Fixture f;
+  f.hasPriorities = true;
+  std::size_t refusals = 0;
+  const auto fillFor2s = [&f] {
+    for (std::uint8_t i = 1; i <= 3; ++i) {
+      f.sendReport(Fixture::agent(i), 163);
+    }
+  };
+  SUBCASE("refused")
+  {
+    f.setTargets({ 1, 2, 3 });
+    fillFor2s();
+    f.sendSyn(1);
+    refusals = 1;
+  }
+  SUBCASE("not refused without priorities")
+  {
+    fillFor2s();
+    f.sendSyn(1);
+  }
+  SUBCASE("not refused if the wait at a target is unknown")
+  {
+    f.setTargets({ 1, 2, 3, 4 });
+    fillFor2s();
+    f.sendSyn(1);
+  }
+  SUBCASE("not refused if another balancer had an earlier SYN")
+  {
+    f.setTargets({ 1, 2, 3 });
+    fillFor2s();
+    f.sendSyn(1, 1);
+  }
+  SUBCASE("not refused if a backend server may have the SYN")
+  {
+    f.setTargets({ 1, 2, 3 });
+    f.sendSyn(1);
+    f.rejectPacket(f.lastForwardedTo(),
+                   RejectReason::Unresponsive,
+                   f.output.toAgents.back().body);
+    f.rejectPacket(f.lastForwardedTo(),
+                   RejectReason::Full,
+                   f.output.toAgents.back().body,
+                   163);
+    fillFor2s();
+  }
+  CHECK(f.output.toCallers.empty());
+  for (const auto transmission : { 1U, 2U }) {
+    f.now += transmission == 1 ? 200ms : 400ms;
+    fillFor2s();
+    f.sendSyn(1, transmission);
+  }
+  f.now += 20ms;
+  f.steerer.tick(f.now);
+  CHECK(f.output.toCallers.size() == refusals);
+}
+
+TEST_CASE("second attempts stay below a tenth of first attempts under overload")
+{
+  Fixture f;
+  f.hasPriorities = true;
+  f.setTargets({ 1, 2, 3 });
+  constexpr std::uint16_t kFlows = 1'000;
+  for (std::uint16_t caller = 1; caller <= kFlows; ++caller) {
+    f.sendSyn(caller);
+    // The report is outdated by the time at which the next SYN arrives.
+    f.rejectPacket(
+      f.lastForwardedTo(), RejectReason::Full, f.packet(caller, true), 0);
+  }
+  const auto& counters = f.steerer.counters();
+  const auto again =
+    counters.value(Steering::SteeringCounter::FlowsChosenAgain);
+  const auto first =
+    counters.value(Steering::SteeringCounter::FlowsChosen) - again;
+  CHECK(first == kFlows);
+  CHECK(again * 10 < first);
+}
+
 TEST_CASE("a queued flow is dropped when its caller gives up the attempt")
 {
   Fixture f(false);
