--- a/src/libs/steering/fleetmapbuilder.cpp
+++ b/src/libs/steering/fleetmapbuilder.cpp
@@ -133,6 +133,13 @@
 FleetMapBuilder::build()
 {
   markEvacuatedTargets();
+  for (const auto& [address, route] : mMap->mRoutes) {
+    for (const auto& share : route.shares) {
+      auto& service = mMap->mServices[share.service];
+      service.mostUrgent = std::min(service.mostUrgent, route.priority);
+      service.leastUrgent = std::max(service.leastUrgent, route.priority);
+    }
+  }
   return std::exchange(mMap, std::make_shared<FleetMap>());
 }
 
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -37,6 +37,9 @@
   LoadReports,
   OwnerQueries,
   BytesToAgents,
+  RequestsGivenUp,
+  FlowsRefusedUnanswerable,
+  FlowsChosenAgain,
   Count,
 };
 
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -88,7 +89,14 @@
       target.slots = 4;
       builder.target("red", target);
     }
-    builder.route(routeDeclaration());
+    auto route = routeDeclaration();
+    if (hasPriorities) {
+      route.route.priority = 1;
+      auto urgent = routeDeclaration();
+      ++urgent.address.port;
+      builder.route(urgent);
+    }
+    builder.route(route);
     steerer.setMap(builder.build(), now);
   }
 
@@ -286,6 +294,8 @@
   Telemetry::EventLog events;
   Core::TimePoint now{ 100s };
   std::uint32_t acknowledgment = 0;
+  /** Whether there is a second route that is more urgent. */
+  bool hasPriorities = false;
   std::set<Core::Endpoint> silentAgents;
   std::set<Core::Endpoint> fullHistoryAgents;
   Steering::FlowSteerer<Test::TestFormat, FakeOutput> steerer;
@@ -382,6 +392,79 @@
   CHECK(f.output.toAgents[0].message.age == 300ms);
 }
 
+TEST_CASE("a queued flow is refused once its caller will give up before it can "
+          "be answered, if no target can have it")
+{
+  Fixture f;
+  f.hasPriorities = true;
+  std::size_t refusals = 0;
+  std::vector<std::uint8_t> targets{ 1, 2, 3 };
+  std::uint32_t firstTransmission = 0;
+  bool mayBeAtTarget = false;
+  SUBCASE("refused")
+  {
+    refusals = 1;
+  }
+  SUBCASE("not without priorities")
+  {
+    f.hasPriorities = false;
+  }
+  SUBCASE("not if the wait at a target is unknown")
+  {
+    targets.push_back(4);
+  }
+  SUBCASE("not if another balancer had a SYN")
+  {
+    firstTransmission = 1;
+  }
+  SUBCASE("not if a backend server may have the SYN")
+  {
+    mayBeAtTarget = true;
+  }
+  f.setTargets(targets);
+  if (mayBeAtTarget) {
+    f.sendSyn(1);
+    f.rejectPacket(f.lastForwardedTo(),
+                   RejectReason::Unresponsive,
+                   f.output.toAgents.back().body);
+  }
+  constexpr std::array kTimes{ 0ms, 200ms, 600ms };
+  for (auto i = firstTransmission; i < kTimes.size(); ++i) {
+    f.now = Core::TimePoint(100s) + kTimes[i];
+    for (std::uint8_t target = 1; target <= 3; ++target) {
+      // The wait for a slot is 2 s.
+      f.rejectPacket(
+        Fixture::agent(target), RejectReason::Full, f.packet(1, true), 163);
+    }
+    f.sendSyn(1, i);
+    CHECK(f.output.toCallers.empty());
+  }
+  f.now += 20ms;
+  f.steerer.tick(f.now);
+  CHECK(f.output.toCallers.size() == refusals);
+}
+
+TEST_CASE("second attempts stay below a tenth of first attempts under overload")
+{
+  Fixture f;
+  f.hasPriorities = true;
+  f.setTargets({ 1, 2, 3 });
+  constexpr std::uint16_t kFlows = 1'000;
+  for (std::uint16_t caller = 1; caller <= kFlows; ++caller) {
+    f.sendSyn(caller);
+    // The report is outdated by the time at which the next SYN arrives.
+    f.rejectPacket(
+      f.lastForwardedTo(), RejectReason::Full, f.packet(caller, true), 0);
+  }
+  const auto& counters = f.steerer.counters();
+  const auto again =
+    counters.value(Steering::SteeringCounter::FlowsChosenAgain);
+  const auto first =
+    counters.value(Steering::SteeringCounter::FlowsChosen) - again;
+  CHECK(first == kFlows);
+  CHECK(again * 10 < first);
+}
+
 TEST_CASE("a queued flow is dropped when its caller gives up the attempt")
 {
   Fixture f(false);
