Platform: Compute the request limit of cold targets

Cause: a service may state how many requests a cold backend server takes per second (warmupPerS), but the fleet map did not contain it.

Change: MapDecoder computes Target::slowStartLimit from warmupPerS and the settings bounds.warmupOverage and bounds.warmupSlack, which balancers pass as SlowStartBounds. A limited target keeps the end of its slow start when the same announcement is decoded again. Services without warmupPerS are decoded as before.

--- a/tests/auto/platform/storefixture.cpp
+++ b/tests/auto/platform/storefixture.cpp
@@ -1,6 +1,7 @@
 #include "storefixture.h"
 
 #include "platform/peerserver.h"
+#include "platform/slowstartbounds.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -90,6 +91,7 @@
            mSource,
            *mLink,
            kAgentPort,
+           Platform::SlowStartBounds(),
            mPublished,
            fleetMap,
            mEvents,
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -286,3 +286,44 @@
   REQUIRE(target != nullptr);
   CHECK_FALSE(target->acceptsNewFlows(Core::TimePoint(1s)));
 }
+
+TEST_CASE("cold targets get the limit of their service and the bounds")
+{
+  SnapshotBuilder builder;
+  const auto target = [&builder](const std::string& aRate,
+                                 const std::string& aFields,
+                                 Platform::SlowStartBounds aBounds = { 1.5, 5 },
+                                 Core::TimePoint aNow = Core::TimePoint(1s),
+                                 Steering::FleetMapPointer aPrevious = {}) {
+    builder.put("op/config",
+                R"({"version":7,"services":[{"name":"red")" + aRate + "}]}");
+    builder.put("servers/i-1",
+                R"({"service":"red","zone":"z1","state":"ready",
+      "address":"10.0.0.1:8080","maxConcurrency":7)" +
+                  aFields + "}");
+    const auto map = Platform::decodeMap(
+                       builder.snapshot, kAgentPort, aPrevious, aNow, aBounds)
+                       .map;
+    return std::pair(*map->findTarget(agentEndpoint("10.0.0.1")), map);
+  };
+  const std::string cold = R"(,"warmupLeftMs":8000,"born":5)";
+  const std::string rate = R"(,"warmupPerS":12.5)";
+  CHECK(target(rate, cold).first.slowStartLimit == 23);
+  CHECK(target(rate, cold, {}).first.slowStartLimit == 12);
+  CHECK(target(R"(,"warmupPerS":1e9)", cold).first.slowStartLimit == 65'535);
+  CHECK(target(R"(,"warmupPerS":0.5)", cold, {}).first.slowStartLimit == 1);
+  // Guards against a limit that the configuration does not ask for.
+  CHECK(target("", cold).first.slowStartLimit == 0);
+  CHECK(target(R"(,"warmupPerS":0)", cold).first.slowStartLimit == 0);
+  CHECK(target(R"(,"warmupPerS":"9")", cold).first.slowStartLimit == 0);
+  CHECK(target(rate, R"(,"born":5)").first.slowStartLimit == 0);
+
+  // Guards against a slow start that each change in the store prolongs.
+  const auto [first, map] = target(rate, cold);
+  CHECK(first.slowStartUntil == Core::TimePoint(9s));
+  const Core::TimePoint later(4s);
+  CHECK(target(rate, cold, {}, later, map).first.slowStartUntil ==
+        first.slowStartUntil);
+  CHECK(target(rate, R"(,"warmupLeftMs":8000,"born":6)", {}, later, map)
+          .first.slowStartUntil == later + 8s);
+}
--- a/tests/auto/platform/tst_nodesettings.cpp
+++ b/tests/auto/platform/tst_nodesettings.cpp
@@ -79,6 +79,26 @@
   }
 }
 
+TEST_CASE("the bounds of slow starts are optional, but must not be negative")
+{
+  const auto parse = [](const std::string& aBounds) {
+    auto text = kBalancer;
+    text.replace(text.find("gracePeriodS"), 0, aBounds);
+    return Platform::parseNodeSettings(
+      "node.toml", text, Platform::NodeRole::Balancer);
+  };
+  CHECK(parse("")->slowStartBounds.overage == 1);
+  CHECK(parse("")->slowStartBounds.slack == 0);
+  const auto settings = parse("warmupOverage = 1.5\nwarmupSlack = 5\n");
+  CHECK(settings->slowStartBounds.overage == 1.5);
+  CHECK(settings->slowStartBounds.slack == 5);
+  for (const auto* value : { "-1", "inf", "\"much\"" }) {
+    CHECK(
+      parse(std::string("warmupSlack = ") + value + "\n").status().message() ==
+      "node.toml: bounds.warmupSlack: expected a number of at least 0");
+  }
+}
+
 TEST_CASE("an agent's settings are parsed")
 {
   const auto settings =
