Steering: Limit the requests of cold backend servers

Cause: a cold backend server got as many requests as its slots allowed, weighted by a factor of 1.6, from balancers that do not see each other's requests.

Change: the agent keeps a sliding window of one second with the limit that balancers send (SlowStartLimiter). It rejects SYNs without a place and queues further requests until there is room. Balancers use the reported budget: cold targets with a limit get what the others cannot take at once. Without a limit nothing changes. Event 325, two counters.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -8,6 +8,7 @@
 #include "steering/packetformat.h"
 #include "steering/queuetime.h"
 #include "steering/requestqueue.h"
+#include "steering/slowstartlimiter.h"
 #include "steering/steeringcounters.h"
 #include "steering/targetflowtable.h"
 
@@ -91,6 +92,8 @@
     , mEvents(aEvents)
     , mHistograms(aHistograms)
     , mStartedAt(aNow)
+    , mSlowStart(aNow)
+    , mNow(aNow)
   {
   }
   AdmissionController(const AdmissionController&) = delete;
@@ -113,6 +116,7 @@
                              absl::Span<const std::uint8_t> aData,
                              Core::TimePoint aNow)
   {
+    mNow = aNow;
     mCounters.increment(SteeringCounter::PacketsReceived);
     mFlows.expire(aNow);
     const auto message = AgentMessage::parse(aData);
@@ -145,6 +149,7 @@
       rejectPacket(aFrom, *packet, RejectReason::WrongService, aNow);
       return;
     }
+    learnSlowStart(*message, aNow);
     if (packet->isSyn()) {
       handleSyn(aFrom, *message, *packet, aNow);
     } else {
@@ -156,6 +161,7 @@
   void handleTargetPacket(absl::Span<const std::uint8_t> aData,
                           Core::TimePoint aNow)
   {
+    mNow = aNow;
     const auto packet = Format::parse(aData);
     if (!packet.ok()) {
       mCounters.increment(SteeringCounter::PacketsMalformed);
@@ -178,6 +184,7 @@
    */
   void tick(Core::TimePoint aNow)
   {
+    mNow = aNow;
     rejectUnansweredSyns(aNow);
     mFlows.expire(aNow);
     mHints.removeExpired(aNow);
@@ -185,19 +192,24 @@
       mFlows.erase(key);
     }
     deliverQueued(aNow);
+    if (mSlowStart.isActive(aNow) && canTakeNewFlow(aNow)) {
+      mLinks.notifyNextAwaitingSlot(currentLoad(aNow));
+    }
     mLinks.reportLoadChanges(currentLoad(aNow), aNow);
   }
 
   /**
-   * Time until tick() is due; std::nullopt if no SYN is pending and no request
-   * is queued.
+   * Time from the last call until tick() is due; std::nullopt if no SYN is
+   * pending, no request is queued and no slow start is limited.
    */
   std::optional<std::chrono::milliseconds> timeUntilTick() const
   {
+    const auto slowStartTime = mSlowStart.timeUntilChange(mNow);
     if (mPendingSyns.empty() && mQueue.isEmpty()) {
-      return std::nullopt;
+      return slowStartTime;
     }
-    return kSynTimeout / 2;
+    const std::chrono::milliseconds interval = kSynTimeout / 2;
+    return std::min(slowStartTime.value_or(interval), interval);
   }
 
 private:
@@ -218,13 +230,14 @@
                  Core::TimePoint aNow)
   {
     const auto key = aPacket.flowFromCaller();
+    if (mSlowStart.isActive(aNow)) {
+      forgetEndedFlow(key);
+    }
     const bool isKnownFlow = mFlows.find(key) != nullptr;
     if (!isKnownFlow) {
       const auto reason = admissionResult(aMessage, aNow);
       if (reason != RejectReason::None) {
-        if (reason == RejectReason::Full) {
-          mLinks.markAwaitingSlot(aFrom);
-        }
+        recordRejectedFlow(aFrom, reason);
         mEvents.write(Telemetry::Event::FlowTurnedAway, [&] {
           return flowFields(key, aNow)
             .add("why", nameOf(reason))
@@ -244,6 +257,9 @@
     flow.balancer = aFrom;
     flow.wantsOwnerNotice = true;
     flow.waitingSince = aNow - aMessage.age;
+    if (!isKnownFlow) {
+      takeSlowStartPlace(flow, aNow);
+    }
     mFlows.setLongLived(flow, aMessage.isLongLived);
     if (!isLate(aMessage)) {
       mFlows.expectRequest(key, flow, aNow);
@@ -255,6 +271,78 @@
     deliver(aFrom, aPacket);
   }
 
+  /** A SYN from the port of an ended flow opens a new one. */
+  void forgetEndedFlow(const Packet::FlowKey& aKey)
+  {
+    const auto* flow = mFlows.find(aKey);
+    if (flow != nullptr && flow->isEnded) {
+      mFlows.erase(aKey);
+    }
+  }
+
+  void recordRejectedFlow(const Core::Endpoint& aFrom, RejectReason aReason)
+  {
+    const bool isSlowStart = aReason == RejectReason::SlowStartLimit;
+    mCounters.increment(SteeringCounter::SlowStartRejects, isSlowStart ? 1 : 0);
+    if (isSlowStart || aReason == RejectReason::Full) {
+      mLinks.markAwaitingSlot(aFrom);
+    }
+  }
+
+  void learnSlowStart(const AgentMessage& aMessage, Core::TimePoint aNow)
+  {
+    if (!mSlowStart.learn(aMessage.slowStart, aMessage.mapRevision, aNow)) {
+      return;
+    }
+    mEvents.write(Telemetry::Event::SlowStartLimited, [&] {
+      Telemetry::EventFields fields;
+      return fields.add("limit", aMessage.slowStart->limit)
+        .add("leftMs", aMessage.slowStart->remaining)
+        .add("free", mSlowStart.budget(aNow));
+    });
+  }
+
+  /** Takes a place in the slow-start window for the flow's newest request. */
+  void takeSlowStartPlace(TargetFlow& aFlow, Core::TimePoint aNow)
+  {
+    releaseSlowStartPlace(aFlow);
+    mSlowStart.take(aNow);
+    aFlow.slowStartPlaceAt = aNow;
+  }
+
+  void releaseSlowStartPlace(TargetFlow& aFlow)
+  {
+    if (aFlow.slowStartPlaceAt != Core::TimePoint{}) {
+      mSlowStart.release(aFlow.slowStartPlaceAt);
+      aFlow.slowStartPlaceAt = {};
+    }
+  }
+
+  bool hasSlowStartPlace(const TargetFlow& aFlow, Core::TimePoint aNow) const
+  {
+    const bool isPlaceUsed = aFlow.slowStartPlaceAt != Core::TimePoint{} &&
+                             mSlowStart.isUsed(aFlow.slowStartPlaceAt, aNow);
+    return isPlaceUsed || mSlowStart.budget(aNow) > 0;
+  }
+
+  /**
+   * Places of the slow-start window for new flows: queued requests take theirs
+   * first.
+   */
+  std::uint32_t slowStartBudget(Core::TimePoint aNow) const
+  {
+    const auto budget = mSlowStart.budget(aNow);
+    const auto queued = static_cast<std::uint32_t>(mQueue.size());
+    return budget == SlowStartLimiter::kUnlimited
+             ? budget
+             : budget - std::min(budget, queued);
+  }
+
+  bool canTakeNewFlow(Core::TimePoint aNow) const
+  {
+    return mFlows.inProgress() < mSlots && slowStartBudget(aNow) > 0;
+  }
+
   static bool isLate(const AgentMessage& aMessage)
   {
     return aMessage.age >= aMessage.latencyObjective;
@@ -316,6 +404,9 @@
     if (mIsDraining) {
       return RejectReason::Draining;
     }
+    if (slowStartBudget(aNow) == 0) {
+      return RejectReason::SlowStartLimit;
+    }
     if (mUnansweredSyns >= kUnresponsiveThreshold) {
       if (aNow - mLastRetryAt < kUnresponsiveRetryInterval) {
         return RejectReason::Unresponsive;
@@ -386,18 +477,32 @@
     }
     const bool startsRequest =
       isNewData && aFlow.request != RequestState::Delivered;
-    // Only requests of confirmed flows are queued. Other data must reach the
-    // backend server, which returns it if it does not own the flow.
-    if (startsRequest && aFlow.isConfirmed && !hasFreeSlot()) {
+    if (startsRequest && mustWait(aFlow, aNow)) {
       enqueue(aMessage, aPacket, aFlow, aNow);
       return;
     }
     if (startsRequest) {
+      takeSlowStartPlace(aFlow, aNow);
       mFlows.markDelivered(aFlow, aNow);
     }
     deliver(aFrom, aPacket);
   }
 
+  /**
+   * Only requests of confirmed flows wait for a slot. Other data must reach the
+   * backend server, which returns it if it does not own the flow. It waits for
+   * the slow-start window only, since an agent that has restarted cannot tell
+   * it from a request.
+   */
+  bool mustWait(const TargetFlow& aFlow, Core::TimePoint aNow)
+  {
+    if (!hasSlowStartPlace(aFlow, aNow)) {
+      mCounters.increment(SteeringCounter::SlowStartWaits);
+      return true;
+    }
+    return aFlow.isConfirmed && !hasFreeSlot();
+  }
+
   bool hasFreeSlot() const
   {
     return mFlows.delivered() < mSlots + kPrefetchedRequests;
@@ -419,17 +524,22 @@
     request.packets.push_back(copyBytes(aPacket));
     mQueue.add(std::move(request));
     mFlows.markQueued(aFlow);
+    releaseSlowStartPlace(aFlow);
     mCounters.increment(SteeringCounter::RequestsHeld);
     mEvents.write(Telemetry::Event::RequestHeld,
                   [&] { return flowFields(aPacket.flowFromCaller(), aNow); });
   }
 
-  /** Delivers queued requests while slots are free. */
+  /**
+   * Delivers queued requests while slots are free and the slow-start window has
+   * room.
+   */
   void deliverQueued(Core::TimePoint aNow)
   {
-    while (hasFreeSlot() && !mQueue.isEmpty()) {
+    while (!mQueue.isEmpty() && hasFreeSlot() && mSlowStart.budget(aNow) > 0) {
       const auto request = mQueue.takeNext(aNow);
       auto& flow = mFlows.touch(request->flow, aNow);
+      takeSlowStartPlace(flow, aNow);
       mFlows.markDelivered(flow, aNow);
       for (const auto& bytes : request->packets) {
         const auto packet = Format::parse(bytes);
@@ -461,9 +571,10 @@
     flow.isConfirmed = true;
     if (aPacket.hasPayload()) {
       flow.waitingSince = {};
+      flow.slowStartPlaceAt = {};
       recordAnswer(flow, aKey, aNow);
       deliverQueued(aNow);
-      if (mFlows.inProgress() < mSlots) {
+      if (canTakeNewFlow(aNow)) {
         mLinks.notifyNextAwaitingSlot(currentLoad(aNow));
       }
     }
@@ -525,7 +636,11 @@
   {
     const auto balancer = mLinks.endpointOf(aPacket.returnToken());
     const auto flow = aPacket.flowFromCaller();
-    const auto* knownFlow = mFlows.find(flow);
+    auto* knownFlow = mFlows.find(flow);
+    if (knownFlow != nullptr && !aPacket.isSyn()) {
+      // The backend server did not run the request.
+      releaseSlowStartPlace(*knownFlow);
+    }
     // A late copy of a SYN says nothing about the open flow.
     const bool isLateSyn =
       aPacket.isSyn() && knownFlow != nullptr && knownFlow->isOpen();
@@ -616,6 +731,9 @@
     load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
     load.isUnavailable =
       mIsDraining || mUnansweredSyns >= kUnresponsiveThreshold;
+    if (mSlowStart.isActive(aNow)) {
+      load.slowStartBudget = toUint16(slowStartBudget(aNow));
+    }
     return load;
   }
 
@@ -636,6 +754,9 @@
   TargetFlowTable mFlows;
   OwnerHints mHints;
   RequestQueue mQueue;
+  SlowStartLimiter mSlowStart;
+  /** Time of the last call. */
+  Core::TimePoint mNow;
   absl::flat_hash_map<Packet::FlowKey, PendingSyn> mPendingSyns;
   std::uint32_t mSlots = 1;
   int mUnansweredSyns = 0;
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -2,9 +2,27 @@
 
 #include "steering/fleetmap.h"
 #include "steering/replyprogress.h"
+#include "steering/slowstartlimiter.h"
+
+#include <algorithm>
 
 namespace Steering {
 
+std::optional<std::uint32_t>
+LoadEstimate::slowStartBudget(std::uint16_t aLimit, Core::TimePoint aNow) const
+{
+  constexpr auto kNone = ReportedLoad::kNoSlowStartLimit;
+  const bool isRecent = reportedAt != Core::TimePoint{} &&
+                        aNow - reportedAt <= SlowStartLimiter::kWindow;
+  const auto reportedBudget = isRecent ? reported.slowStartBudget : kNone;
+  if (aLimit == 0 && reportedBudget == kNone) {
+    return std::nullopt;
+  }
+  const std::uint32_t budget =
+    aLimit == 0 ? reportedBudget : std::min(aLimit, reportedBudget);
+  return budget - std::min(unreportedFlows, budget);
+}
+
 AgentLoadTable::Entry&
 AgentLoadTable::findOrInsert(const Core::Endpoint& aAgent)
 {
--- a/src/libs/steering/agentloadtable.h
+++ b/src/libs/steering/agentloadtable.h
@@ -8,6 +8,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Steering {
@@ -59,6 +61,14 @@
   {
     return reported.longLivedFlows + unreportedLongLivedFlows;
   }
+  /**
+   * Requests that the target may still take during its slow start;
+   * std::nullopt if neither the fleet map nor the agent limits them. aLimit is
+   * the limit of the fleet map, 0 if it has none. A report that is older than
+   * the slow-start window no longer describes it.
+   */
+  std::optional<std::uint32_t> slowStartBudget(std::uint16_t aLimit,
+                                               Core::TimePoint aNow) const;
   bool isOverdue() const { return overdueAt != Core::TimePoint{}; }
   bool isSuspected() const { return suspectedAt != Core::TimePoint{}; }
 };
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -55,7 +55,10 @@
     mNewestMapRevision = std::max(mNewestMapRevision, aMapRevision);
   }
 
-  /** Records that a balancer's SYN was rejected for lack of a free slot. */
+  /**
+   * Records that a balancer's SYN was rejected for lack of a free slot, or of a
+   * place in the slow-start window.
+   */
   void markAwaitingSlot(const Core::Endpoint& aBalancer)
   {
     mBalancers[tokenOf(aBalancer) - 1].isAwaitingSlot = true;
@@ -205,7 +208,8 @@
   {
     return aPrevious.inProgress != aCurrent.inProgress ||
            aPrevious.longLivedFlows != aCurrent.longLivedFlows ||
-           aPrevious.isUnavailable != aCurrent.isUnavailable;
+           aPrevious.isUnavailable != aCurrent.isUnavailable ||
+           aPrevious.slowStartBudget != aCurrent.slowStartBudget;
   }
 
   /** Writes the header of a new message to the buffer. */
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -70,6 +70,10 @@
   {
     return isRemoved() && aNow - removedAt >= kGoneTime;
   }
+  bool hasSlowStartLimit(Core::TimePoint aNow) const
+  {
+    return slowStartLimit > 0 && aNow < slowStartUntil;
+  }
   bool acceptsNewFlows(Core::TimePoint aNow) const
   {
     return state == TargetState::Accepting &&
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -88,6 +88,9 @@
     if (aReason == RejectReason::Full) {
       mContext.counters.increment(SteeringCounter::FlowsTurnedAway);
       ++cachedFlow.fullRejections;
+    } else if (aReason == RejectReason::SlowStartLimit) {
+      // The report in the message shows that the target has no budget now.
+      mContext.counters.increment(SteeringCounter::SlowStartRejects);
     } else {
       cachedFlow.excludedAgents.add(aFrom);
     }
@@ -221,7 +224,7 @@
     const auto hash = flowHash(flow);
     const auto& service = mContext.map->services()[selectService(*route, hash)];
     collectCandidates(service, cachedFlow, aNow);
-    if (mCandidates.empty()) {
+    if (mCandidates.empty() && mLimitedCandidates.empty()) {
       if (isRejectedByAll(service, cachedFlow, aNow)) {
         refuse(*packet, flow, service);
         return;
@@ -245,9 +248,7 @@
   {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       aNow - aPending.firstSentAt);
-    const auto* chosen = age < aRoute.latencyObjective
-                           ? selectForOnTimeFlow(aRoute, aHash)
-                           : selectForLateFlow(mCandidates);
+    const auto* chosen = select(aRoute, aHash, age < aRoute.latencyObjective);
     if (chosen == nullptr) {
       return;
     }
@@ -281,6 +282,9 @@
         .add("zone", aChosen.target->zone)
         .add("waitedMs", aAge)
         .add("revision", formatMapRevision(mContext.map->revision()));
+      if (aChosen.slowStartBudget) {
+        fields.add("slowStartBudget", *aChosen.slowStartBudget);
+      }
       if (load.reportedAt != Core::TimePoint{}) {
         fields.add("loadAgeMs",
                    std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -290,16 +294,41 @@
     });
   }
 
+  /**
+   * Cold targets with a limit get what the other targets cannot take at once.
+   * If the cold ones have no free slot either, the others are preferred.
+   */
+  const Candidate* select(const Route& aRoute,
+                          std::uint64_t aHash,
+                          bool aIsOnTime)
+  {
+    const auto selectFrom = [&](const std::vector<Candidate>& aCandidates) {
+      return aIsOnTime ? selectForOnTimeFlow(aCandidates, aRoute, aHash)
+                       : selectForLateFlow(aCandidates);
+    };
+    if (!mLimitedCandidates.empty() && !hasFreeTarget(mCandidates)) {
+      const auto* cold = selectByBudget(mLimitedCandidates, aHash);
+      if (cold != nullptr) {
+        return cold;
+      }
+    }
+    const auto* chosen = selectFrom(mCandidates);
+    return chosen != nullptr ? chosen : selectFrom(mLimitedCandidates);
+  }
+
   /** A target that can respond on time; null if there is none. */
-  const Candidate* selectForOnTimeFlow(const Route& aRoute, std::uint64_t aHash)
+  const Candidate* selectForOnTimeFlow(
+    const std::vector<Candidate>& aCandidates,
+    const Route& aRoute,
+    std::uint64_t aHash)
   {
-    mShortlist = shortlist(mCandidates, aHash);
+    mShortlist = shortlist(aCandidates, aHash);
     const auto* chosen = selectTarget(mShortlist, aRoute.flowType, aHash);
     if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
       chosen = selectTarget(mShortlist, FlowType::OneRequest, aHash);
     }
     if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(mCandidates, FlowType::OneRequest, aHash);
+      chosen = selectTarget(aCandidates, FlowType::OneRequest, aHash);
     }
     const bool isOnTime =
       chosen != nullptr &&
@@ -312,20 +341,35 @@
                          Core::TimePoint aNow)
   {
     mCandidates.clear();
+    mLimitedCandidates.clear();
     for (const auto& target : aService.targets) {
       const bool isExcluded =
         !target.acceptsNewFlows(aNow) ||
         aCachedFlow.excludedAgents.contains(target.agent) ||
         !mContext.loads.isUsable(target.agent, aNow);
       if (!isExcluded) {
-        mCandidates.push_back({ &target,
-                                &mContext.loads.find(target.agent),
-                                target.zone == mContext.config.zone,
-                                target.slowStartUntil <= aNow });
+        addCandidate(target, aNow);
       }
     }
   }
 
+  void addCandidate(const Target& aTarget, Core::TimePoint aNow)
+  {
+    const auto& load = mContext.loads.find(aTarget.agent);
+    const std::uint16_t limit =
+      aTarget.hasSlowStartLimit(aNow) ? aTarget.slowStartLimit : 0;
+    const Candidate candidate{ &aTarget,
+                               &load,
+                               aTarget.zone == mContext.config.zone,
+                               aTarget.slowStartUntil <= aNow,
+                               load.slowStartBudget(limit, aNow) };
+    if (!candidate.slowStartBudget) {
+      mCandidates.push_back(candidate);
+    } else if (*candidate.slowStartBudget > 0) {
+      mLimitedCandidates.push_back(candidate);
+    }
+  }
+
   /**
    * Whether every target that accepts new flows rejected this one. A target
    * that did not reply does not count as rejecting: its SYN-ACK may have
@@ -385,6 +429,8 @@
   SteererContext<Format, Output>& mContext;
   PendingFlows mPendingFlows;
   std::vector<Candidate> mCandidates;
+  /** Cold targets with a limit that have budget left. */
+  std::vector<Candidate> mLimitedCandidates;
   /** The candidates at which other balancers find the flow's owner quickly. */
   std::vector<Candidate> mShortlist;
   Core::TimePoint mLastRetryAt{};
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -17,6 +17,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -119,6 +120,7 @@
     message.latencyObjective = aRoute.latencyObjective;
     message.timeout = aRoute.timeout;
     message.priority = aRoute.priority;
+    message.slowStart = slowStartOf(*map->findTarget(aCachedFlow.agent));
     mBuffer.clear();
     message.appendTo(mBuffer);
     const auto bytes = aPacket.bytes();
@@ -211,6 +213,17 @@
   SteeringCounters counters;
 
 private:
+  /** std::nullopt if the target is not cold or has no limit. */
+  std::optional<SlowStart> slowStartOf(const Target& aTarget) const
+  {
+    if (!aTarget.hasSlowStartLimit(now)) {
+      return std::nullopt;
+    }
+    return SlowStart{ aTarget.slowStartLimit,
+                      std::chrono::ceil<std::chrono::milliseconds>(
+                        aTarget.slowStartUntil - now) };
+  }
+
   /**
    * Starts a message in the buffer with only the fields that all kinds have.
    */
--- a/src/libs/steering/steeringcounters.cpp
+++ b/src/libs/steering/steeringcounters.cpp
@@ -20,7 +20,8 @@
   "requests_held",         "wrong_service",
   "targets_suspected",     "owner_notices",
   "load_reports",          "owner_queries",
-  "bytes_to_agents",
+  "bytes_to_agents",       "slow_start_rejects",
+  "slow_start_waits",
 };
 
 } // namespace
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -36,6 +36,8 @@
   LoadReports,
   OwnerQueries,
   BytesToAgents,
+  SlowStartRejects,
+  SlowStartWaits,
   Count,
 };
 
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -34,6 +34,11 @@
   Core::TimePoint deliveredAt{};
   /** Start of the caller's waiting time for the flow, as far as known. */
   Core::TimePoint waitingSince{};
+  /**
+   * When the newest request took its place in the slow-start window; null if it
+   * has none. The first request gets its place with the SYN.
+   */
+  Core::TimePoint slowStartPlaceAt{};
   std::uint32_t lastCallerSequence = 0;
   RequestState request = RequestState::None;
   bool isLongLived = false;
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -3,8 +3,10 @@
 #include "steering/queuetime.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace Steering {
 
@@ -105,6 +107,27 @@
   return aIsWorthLeavingZone(aCost(*local), aCost(*remote)) ? remote : local;
 }
 
+/** Needs no service time, which is unknown before the first report. */
+bool
+hasFreeSlot(const Candidate& aCandidate)
+{
+  return aCandidate.load->inProgress() <
+         std::max<std::uint32_t>(aCandidate.target->slots, 1);
+}
+
+/**
+ * Weighted rendezvous hashing: the candidate with the highest score is drawn
+ * with a probability proportional to its budget.
+ */
+double
+budgetScore(const Candidate& aCandidate, std::uint64_t aFlowHash)
+{
+  const auto weight = rendezvousWeight(*aCandidate.target, aFlowHash);
+  // Maps the weight to a number above 0 and below 1.
+  const double fraction = (static_cast<double>(weight >> 12U) + 0.5) * 0x1p-52;
+  return aCandidate.slowStartBudget.value_or(0) / -std::log(fraction);
+}
+
 } // namespace
 
 const Candidate*
@@ -156,6 +179,29 @@
   return best == aCandidates.end() ? nullptr : &*best;
 }
 
+bool
+hasFreeTarget(absl::Span<const Candidate> aCandidates)
+{
+  return std::any_of(aCandidates.begin(), aCandidates.end(), hasFreeSlot);
+}
+
+const Candidate*
+selectByBudget(absl::Span<const Candidate> aCandidates, std::uint64_t aFlowHash)
+{
+  const Candidate* best = nullptr;
+  for (const auto& candidate : aCandidates) {
+    if (candidate.slowStartBudget.value_or(0) == 0 || !hasFreeSlot(candidate)) {
+      continue;
+    }
+    const bool isBetter =
+      best == nullptr ||
+      std::pair(candidate.isLocalZone, budgetScore(candidate, aFlowHash)) >
+        std::pair(best->isLocalZone, budgetScore(*best, aFlowHash));
+    best = isBetter ? &candidate : best;
+  }
+  return best;
+}
+
 std::chrono::milliseconds
 expectedQueueTime(const Candidate& aCandidate)
 {
--- a/src/libs/steering/targetselection.h
+++ b/src/libs/steering/targetselection.h
@@ -8,6 +8,7 @@
 #include <absl/types/span.h>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Steering {
@@ -19,6 +20,11 @@
   const LoadEstimate* load = nullptr;
   bool isLocalZone = false;
   bool isSlowStartOver = true;
+  /**
+   * Requests that the cold target may still take; std::nullopt if they are not
+   * limited.
+   */
+  std::optional<std::uint32_t> slowStartBudget;
 };
 
 /**
@@ -59,6 +65,21 @@
 const Candidate*
 selectForLateFlow(absl::Span<const Candidate> aCandidates);
 
+/** Whether a target has a slot for a new request at once. */
+bool
+hasFreeTarget(absl::Span<const Candidate> aCandidates);
+
+/**
+ * Selects a cold target with a limited slow start for a new flow, in proportion
+ * to the targets' budgets, so that balancers that choose at the same time do
+ * not all select the same one. Targets without a free slot or budget are not
+ * selected, and those of other zones only if the local zone has none. Null if
+ * there is no such target.
+ */
+const Candidate*
+selectByBudget(absl::Span<const Candidate> aCandidates,
+               std::uint64_t aFlowHash);
+
 /**
  * Estimates the time that a new request would wait for a slot, from the
  * target's last load report and the new flows that it does not include.
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -39,6 +39,7 @@
   FlowNotHeld = 322,
   RequestHeld = 323,
   RequestAnswered = 324,
+  SlowStartLimited = 325,
   DrainStarted = 400,
   DrainFinished = 401,
   DrainDeadline = 402,
--- a/tests/flowsimulation/faketarget.cpp
+++ b/tests/flowsimulation/faketarget.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::milliseconds kInitialRetransmitDelay{ 200 };
 constexpr std::chrono::milliseconds kMaxRetransmitDelay{ 1'600 };
+constexpr int kColdFactorPercent = 160;
 
 } // namespace
 
@@ -88,19 +89,35 @@
   }
   if (aPacket.sequence() == aFlow.expectedSequence) {
     aFlow.expectedSequence += 1;
+    recordRequest(aNow);
     mQueuedJobs.push_back({ key, payloadText(aBytes), {} });
     startJobs(aNow);
   }
   return { PacketWriter::toCaller(key).flags(kAck).write() };
 }
 
+void
+FakeTarget::recordRequest(Core::TimePoint aNow)
+{
+  ++mRequestCount;
+  mArrivals.push_back(aNow);
+  while (aNow - mArrivals.front() > std::chrono::seconds(1)) {
+    mArrivals.pop_front();
+  }
+  mIsSlowStartLimitExceeded |=
+    mColdLimit > 0 && aNow < mColdUntil && mArrivals.size() > mColdLimit;
+}
+
 void
 FakeTarget::startJobs(Core::TimePoint aNow)
 {
   while (!mQueuedJobs.empty() && mRunningJobs.size() < mSlots) {
     auto job = std::move(mQueuedJobs.front());
     mQueuedJobs.pop_front();
-    job.doneAt = aNow + mProcessingTime;
+    const auto time = aNow < mColdUntil
+                        ? mProcessingTime * kColdFactorPercent / 100
+                        : mProcessingTime;
+    job.doneAt = aNow + time;
     mRuns.push_back({ mService, mName, job.request });
     mRunningJobs.push_back(std::move(job));
   }
--- a/tests/flowsimulation/faketarget.h
+++ b/tests/flowsimulation/faketarget.h
@@ -45,6 +45,18 @@
   {
     mProcessingTime = aProcessingTime;
   }
+  /**
+   * The backend server is cold until aUntil: it is slower, and records whether
+   * it gets more than aLimit requests in any one second.
+   */
+  void startCold(std::size_t aLimit, Core::TimePoint aUntil)
+  {
+    mColdLimit = aLimit;
+    mColdUntil = aUntil;
+  }
+  bool isSlowStartLimitExceeded() const { return mIsSlowStartLimitExceeded; }
+  /** Requests that arrived so far. */
+  std::size_t requestCount() const { return mRequestCount; }
   /** Highest number of running and queued requests so far. */
   std::size_t peakJobCount() const { return mPeakJobCount; }
 
@@ -73,6 +85,7 @@
                                       const Platform::Datagram& aPacket,
                                       const Bytes& aBytes,
                                       Core::TimePoint aNow);
+  void recordRequest(Core::TimePoint aNow);
   void startJobs(Core::TimePoint aNow);
   void finishJob(const Job& aJob, Core::TimePoint aNow);
 
@@ -90,6 +103,12 @@
   std::deque<Job> mQueuedJobs;
   std::vector<Job> mRunningJobs;
   std::size_t mPeakJobCount = 0;
+  std::size_t mRequestCount = 0;
+  std::size_t mColdLimit = 0;
+  Core::TimePoint mColdUntil{};
+  /** Arrival times of the requests of the last second. */
+  std::deque<Core::TimePoint> mArrivals;
+  bool mIsSlowStartLimitExceeded = false;
 };
 
 } // namespace FlowTesting
--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -151,6 +151,7 @@
   /** The announcement in the store; empty if there is none. */
   std::string announced;
   Core::TimePoint drainingSince{};
+  Core::TimePoint coldUntil{};
   std::unique_ptr<AgentOutput> output;
   /** Null while the agent does not run. */
   std::unique_ptr<
@@ -206,14 +207,36 @@
   node->number = mTargetNodes.size() + 1;
   node->output =
     std::make_unique<AgentOutput>(AgentOutput{ *this, name, aAgent });
-  node->target = std::make_unique<FakeTarget>(
-    aService, name, mSettings.slots, (mTargetNodes.size() + 1) * 10'000, mRuns);
+  startBackend(*node, mSettings.isFleetCold || !mBalancers.empty());
   mTargetNameByAgent[Steering::endpointKey(aAgent)] = name;
   mTargetNodes[name] = std::move(node);
   startAgent(name);
   return name;
 }
 
+void
+FlowSimulation::startBackend(TargetNode& aNode, bool aIsCold)
+{
+  aNode.target = std::make_unique<FakeTarget>(
+    aNode.service,
+    aNode.name,
+    mSettings.slots,
+    static_cast<std::uint32_t>(aNode.number * 10'000),
+    mRuns);
+  aNode.coldUntil = aIsCold ? mNow + mSettings.warmupTime : Core::TimePoint{};
+  aNode.target->startCold(mSettings.coldRequestsPerSecond, aNode.coldUntil);
+}
+
+void
+FlowSimulation::restartTarget(const std::string& aTarget)
+{
+  auto& node = *mTargetNodes.at(aTarget);
+  node.number += mTargetNodes.size();
+  startBackend(node, true);
+  announce(node);
+  publishMap();
+}
+
 std::vector<std::string>
 FlowSimulation::balancerNames() const
 {
@@ -382,6 +405,10 @@
   for (const auto* name : kServices) {
     Json::Value service;
     service["name"] = name;
+    if (mSettings.coldRequestsPerSecond > 0) {
+      service["warmupPerS"] =
+        Json::Value::UInt64(mSettings.coldRequestsPerSecond);
+    }
     root["services"].append(service);
     const auto address = routeAddress(name);
     Json::Value route;
@@ -415,6 +442,11 @@
   server["state"] =
     aNode.state == Steering::TargetState::Draining ? "draining" : "ready";
   server["born"] = Json::Value::UInt64(aNode.number);
+  if (aNode.coldUntil > mNow) {
+    server["warmupLeftMs"] = Json::Value::Int64(
+      std::chrono::ceil<std::chrono::milliseconds>(aNode.coldUntil - mNow)
+        .count());
+  }
   aNode.announced = toText(server);
   mStore.put(key, aNode.announced);
 }
@@ -812,6 +844,10 @@
     transmitFromTarget(aTarget, packet);
   }
   checkDelivery(node, flow);
+  if (node.target->isSlowStartLimitExceeded()) {
+    mViolations.push_back(absl::StrCat(
+      sinceStart().count(), " ms: too many requests for the cold ", aTarget));
+  }
 }
 
 /** Only the agent of its target can deliver a packet of a flow to it. */
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -41,6 +41,15 @@
    * balancers are in rotation, it uses all of them, even those that do not run.
    */
   bool probesReadiness = false;
+  /**
+   * A cold target may get this many requests in any one second; 0 if they are
+   * not limited.
+   */
+  std::size_t coldRequestsPerSecond = 0;
+  /** How long a target is cold after restartTarget() or addTarget(). */
+  std::chrono::milliseconds warmupTime{ 0 };
+  /** Whether all targets have just started. */
+  bool isFleetCold = false;
 };
 
 /**
@@ -93,6 +102,11 @@
    * continues to run.
    */
   void killTarget(const std::string& aTarget);
+  /**
+   * Ends a backend server and starts it again, cold, with a new announcement.
+   * The agent continues to run.
+   */
+  void restartTarget(const std::string& aTarget);
   /** Adds a backend server with its agent to the fleet map. */
   std::string addTarget(const std::string& aService);
   void drainTarget(const std::string& aTarget);
@@ -198,6 +212,7 @@
   void checkBalancerReset(const FlowCaller& aCaller);
   /** Writes what has changed about a target to the store. */
   void announce(TargetNode& aNode);
+  void startBackend(TargetNode& aNode, bool aIsCold);
   void writeConfiguration();
   void publishMap();
   /** Lets the balancer follow the store. */
--- a/tests/flowsimulation/tst_flowsimulation.cpp
+++ b/tests/flowsimulation/tst_flowsimulation.cpp
@@ -245,6 +245,66 @@
   checkNoViolations(simulation);
 }
 
+// Guards against cold servers that get more than they can serve, and against
+// callers that wait for one while a warm server is free.
+TEST_CASE("cold targets get at most their limit and spare warm ones no slot")
+{
+  FlowTesting::FlowSimulationSettings settings;
+  settings.coldRequestsPerSecond = 20;
+  settings.warmupTime = 5s;
+  const std::vector<std::string> cold{ "t1", "t5" };
+  SUBCASE("after a return of half of the targets")
+  {
+    FlowSimulation simulation(settings);
+    simulation.advance(2s);
+    for (const auto& name : cold) {
+      simulation.restartTarget(name);
+    }
+    // The two warm targets have 8 slots of 30 ms, for 266 requests a second.
+    openFlowsEvenly(simulation, 150, 5s);
+    for (const auto& name : cold) {
+      CHECK(simulation.target(name)->requestCount() < 100);
+    }
+    CHECK(answersWithin(simulation, 100ms) >= 740);
+    const auto before = simulation.target("t1")->requestCount();
+    openFlowsEvenly(simulation, 150, 2s);
+    CHECK(simulation.target("t1")->requestCount() > before + 40);
+    checkNoViolations(simulation);
+  }
+  SUBCASE("while agents and balancers restart at twice the load")
+  {
+    FlowSimulation simulation(settings);
+    simulation.advance(2s);
+    for (const auto& name : simulation.targetNames()) {
+      simulation.setProcessingTime(name, 60ms);
+    }
+    simulation.openFlow("red", 0, 100, 10ms);
+    for (int i = 0; i < 4; ++i) {
+      simulation.restartTarget(cold[static_cast<std::size_t>(i) % 2]);
+      openFlowsEvenly(simulation, 270, 700ms);
+      simulation.killAgent("t1");
+      simulation.startAgent("t1");
+      openFlowsEvenly(simulation, 270, 300ms);
+      simulation.startBalancer("b1");
+      openFlowsEvenly(simulation, 270, 500ms);
+    }
+    checkNoViolations(simulation);
+  }
+  SUBCASE("when the whole fleet is cold")
+  {
+    settings.isFleetCold = true;
+    FlowSimulation simulation(settings);
+    openFlowsEvenly(simulation, 160, 4s);
+    std::size_t count = 0;
+    for (const auto& name : simulation.targetNames()) {
+      count += simulation.target(name)->requestCount();
+    }
+    // The agents have just started and take nothing in the first second.
+    CHECK(count >= 4 * 20 * 3 * 9 / 10);
+    checkNoViolations(simulation);
+  }
+}
+
 TEST_CASE("requests are spread evenly over the targets of a service")
 {
   FlowSimulation simulation({});
