Steering: Count limited requests from the time they are sent

Cause: an agent that is suspended between its clock and the delivery sends its requests later than the slow-start window assumes, and as many again when it resumes. A balancer whose map shows no limit used the reported budget, which agents of an earlier release report as 0.

Change: AdmissionController::recordSent moves the places of a round to the time after its flush. Balancers use the reported budget only with a limit in the map, and otherwise leave an agent out that rejected the flow. The tests of the limit use the existing fixtures; a simulation checks that the warm targets' share falls smoothly.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -198,6 +198,12 @@
     mLinks.reportLoadChanges(currentLoad(aNow), aNow);
   }
 
+  /**
+   * Called when the packets of the last calls have been sent, which is later
+   * than the time of these calls if the process was suspended meanwhile.
+   */
+  void recordSent(Core::TimePoint aNow) { mSlowStart.move(mNow, aNow); }
+
   /**
    * Time from the last call until tick() is due; std::nullopt if no SYN is
    * pending, no request is queued and no slow start is limited.
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -11,15 +11,13 @@
 std::optional<std::uint32_t>
 LoadEstimate::slowStartBudget(std::uint16_t aLimit, Core::TimePoint aNow) const
 {
-  constexpr auto kNone = ReportedLoad::kNoSlowStartLimit;
-  const bool isRecent = reportedAt != Core::TimePoint{} &&
-                        aNow - reportedAt <= SlowStartLimiter::kWindow;
-  const auto reportedBudget = isRecent ? reported.slowStartBudget : kNone;
-  if (aLimit == 0 && reportedBudget == kNone) {
+  if (aLimit == 0) {
     return std::nullopt;
   }
+  const bool isRecent = reportedAt != Core::TimePoint{} &&
+                        aNow - reportedAt <= SlowStartLimiter::kWindow;
   const std::uint32_t budget =
-    aLimit == 0 ? reportedBudget : std::min(aLimit, reportedBudget);
+    isRecent ? std::min(aLimit, reported.slowStartBudget) : aLimit;
   return budget - std::min(unreportedFlows, budget);
 }
 
--- a/src/libs/steering/agentloadtable.h
+++ b/src/libs/steering/agentloadtable.h
@@ -63,9 +63,8 @@
   }
   /**
    * Requests that the target may still take during its slow start;
-   * std::nullopt if neither the fleet map nor the agent limits them. aLimit is
-   * the limit of the fleet map, 0 if it has none. A report that is older than
-   * the slow-start window no longer describes it.
+   * std::nullopt if aLimit, the limit of the fleet map, is 0. A report that is
+   * older than the slow-start window no longer describes it.
    */
   std::optional<std::uint32_t> slowStartBudget(std::uint16_t aLimit,
                                                Core::TimePoint aNow) const;
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -88,12 +88,12 @@
     if (aReason == RejectReason::Full) {
       mContext.counters.increment(SteeringCounter::FlowsTurnedAway);
       ++cachedFlow.fullRejections;
-    } else if (aReason == RejectReason::SlowStartLimit) {
-      // The report in the message shows that the target has no budget now.
-      mContext.counters.increment(SteeringCounter::SlowStartRejects);
-    } else {
+    } else if (!isWithoutBudget(aFrom, aReason, aNow)) {
       cachedFlow.excludedAgents.add(aFrom);
     }
+    if (aReason == RejectReason::SlowStartLimit) {
+      mContext.counters.increment(SteeringCounter::SlowStartRejects);
+    }
     if (aReason == RejectReason::Refused ||
         aReason == RejectReason::WrongService ||
         aReason == RejectReason::Draining) {
@@ -336,6 +336,20 @@
     return isOnTime ? chosen : nullptr;
   }
 
+  /**
+   * Whether the report in a reject keeps the target from being selected again.
+   * If the map of this balancer shows no limit, the report has no effect.
+   */
+  bool isWithoutBudget(const Core::Endpoint& aAgent,
+                       RejectReason aReason,
+                       Core::TimePoint aNow) const
+  {
+    const auto* target =
+      mContext.map == nullptr ? nullptr : mContext.map->findTarget(aAgent);
+    return aReason == RejectReason::SlowStartLimit && target != nullptr &&
+           target->hasSlowStartLimit(aNow);
+  }
+
   void collectCandidates(const Service& aService,
                          const CachedFlow& aCachedFlow,
                          Core::TimePoint aNow)
--- a/src/libs/steering/slowstartlimiter.cpp
+++ b/src/libs/steering/slowstartlimiter.cpp
@@ -1,6 +1,7 @@
 #include "steering/slowstartlimiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Steering {
 
@@ -45,12 +46,17 @@
 void
 SlowStartLimiter::take(Core::TimePoint aNow)
 {
-  const auto number = bucketNumber(aNow);
+  add(bucketNumber(aNow), 1);
+}
+
+void
+SlowStartLimiter::move(Core::TimePoint aTakenAt, Core::TimePoint aSentAt)
+{
+  const auto number = bucketNumber(aTakenAt);
   auto& bucket = bucketOf(number);
-  if (bucket.number != number) {
-    bucket = { number, 0 };
+  if (bucket.number == number) {
+    add(bucketNumber(aSentAt), std::exchange(bucket.count, 0));
   }
-  ++bucket.count;
 }
 
 void
@@ -104,6 +110,16 @@
   return mBuckets[static_cast<std::size_t>(aNumber) % mBuckets.size()];
 }
 
+void
+SlowStartLimiter::add(std::int64_t aNumber, std::uint32_t aCount)
+{
+  auto& bucket = bucketOf(aNumber);
+  if (bucket.number != aNumber) {
+    bucket = { aNumber, 0 };
+  }
+  bucket.count += aCount;
+}
+
 std::uint32_t
 SlowStartLimiter::usedCount(Core::TimePoint aNow) const
 {
--- a/src/libs/steering/slowstartlimiter.h
+++ b/src/libs/steering/slowstartlimiter.h
@@ -56,6 +56,11 @@
   std::uint32_t budget(Core::TimePoint aNow) const;
   /** Takes a place, whether one is free or not. */
   void take(Core::TimePoint aNow);
+  /**
+   * Moves the places that were taken at aTakenAt, because their requests were
+   * sent only at aSentAt.
+   */
+  void move(Core::TimePoint aTakenAt, Core::TimePoint aSentAt);
   /** Frees a place that was taken at aTakenAt; no-op if it is free again. */
   void release(Core::TimePoint aTakenAt);
   /** Whether a place that was taken at aTakenAt is still used. */
@@ -80,6 +85,7 @@
 
   static std::int64_t bucketNumber(Core::TimePoint aTime);
   Bucket& bucketOf(std::int64_t aNumber);
+  void add(std::int64_t aNumber, std::uint32_t aCount);
   std::uint32_t usedCount(Core::TimePoint aNow) const;
 
   std::array<Bucket, kUsedBuckets + 1> mBuckets{};
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -290,22 +290,23 @@
 TEST_CASE("cold targets get the limit of their service and the bounds")
 {
   SnapshotBuilder builder;
-  const auto target = [&builder](const std::string& aRate,
-                                 const std::string& aFields,
-                                 Platform::SlowStartBounds aBounds = { 1.5, 5 },
-                                 Core::TimePoint aNow = Core::TimePoint(1s),
-                                 Steering::FleetMapPointer aPrevious = {}) {
-    builder.put("op/config",
-                R"({"version":7,"services":[{"name":"red")" + aRate + "}]}");
-    builder.put("servers/i-1",
-                R"({"service":"red","zone":"z1","state":"ready",
+  const auto target =
+    [&builder](const std::string& aRate,
+               const std::string& aFields,
+               Platform::SlowStartBounds aBounds = { 1.5, 5 },
+               Core::TimePoint aNow = Core::TimePoint(1s),
+               const Steering::FleetMapPointer& aPrevious = {}) {
+      builder.put("op/config",
+                  R"({"version":7,"services":[{"name":"red")" + aRate + "}]}");
+      builder.put("servers/i-1",
+                  R"({"service":"red","zone":"z1","state":"ready",
       "address":"10.0.0.1:8080","maxConcurrency":7)" +
-                  aFields + "}");
-    const auto map = Platform::decodeMap(
-                       builder.snapshot, kAgentPort, aPrevious, aNow, aBounds)
-                       .map;
-    return std::pair(*map->findTarget(agentEndpoint("10.0.0.1")), map);
-  };
+                    aFields + "}");
+      const auto map = Platform::decodeMap(
+                         builder.snapshot, kAgentPort, aPrevious, aNow, aBounds)
+                         .map;
+      return std::pair(*map->findTarget(agentEndpoint("10.0.0.1")), map);
+    };
   const std::string cold = R"(,"warmupLeftMs":8000,"born":5)";
   const std::string rate = R"(,"warmupPerS":12.5)";
   CHECK(target(rate, cold).first.slowStartLimit == 23);
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,7 +76,9 @@
     message.wantsOwnerNotice = aWantsOwnerNotice;
     message.isLongLived = isLongLived;
     message.serviceTag = Steering::FleetMap::serviceTag(aService);
-    message.slots = 2;
+    message.slots = slots;
+    message.slowStart = slowStart;
+    message.mapRevision = mapRevision;
     Bytes bytes;
     message.appendTo(bytes);
     bytes.insert(bytes.end(), aPacket.begin(), aPacket.end());
@@ -144,6 +148,9 @@
   Telemetry::HistogramSet histograms;
   Core::TimePoint now{ 100s };
   bool isLongLived = false;
+  std::uint16_t slots = 2;
+  std::optional<Steering::SlowStart> slowStart;
+  Steering::MapRevision mapRevision{ 1, 1 };
   /**
    * A request may be queued for a third of this, less than the 25 ms that it
    * would have to wait with both slots in use.
@@ -152,6 +159,67 @@
   Steering::AdmissionController<Test::TestFormat, FakeOutput> controller;
 };
 
+/** A cold backend server that answers at once. */
+class ColdFixture : public Fixture
+{
+public:
+  static constexpr std::uint16_t kLimit = 20;
+
+  /** The agent's first second is over. */
+  ColdFixture()
+  {
+    now += 2s;
+    slots = 1'000;
+    slowStart = { kLimit, 10'000ms };
+  }
+
+  /** Opens a flow with one request; false if the agent rejects it. */
+  bool request(std::uint16_t aCaller, const Core::Endpoint& aFrom = kBalancer)
+  {
+    const auto before = output.delivered.size();
+    forward(synPacket(aCaller), aFrom);
+    if (output.delivered.size() == before) {
+      return false;
+    }
+    sendSynAck(aCaller);
+    sendData(aCaller, 1);
+    return true;
+  }
+  void sendData(std::uint16_t aCaller, std::uint32_t aSequence)
+  {
+    forward(dataPacket(aCaller, aSequence));
+    answerAll();
+  }
+  void answerAll()
+  {
+    for (; mSeenCount < output.delivered.size(); ++mSeenCount) {
+      const auto packet =
+        Test::TestFormat::parse(output.delivered[mSeenCount])->fields();
+      (packet.isSyn ? syns : requests).push_back(now);
+      if (!packet.isSyn) {
+        sendAnswer(packet.flow.caller.port);
+      }
+    }
+  }
+  /** The most times in any sliding second. */
+  static std::size_t peak(const std::vector<Core::TimePoint>& aTimes)
+  {
+    std::size_t peak = 0;
+    for (std::size_t i = 0, first = 0; i < aTimes.size(); ++i) {
+      for (; aTimes[i] - aTimes[first] > 1s; ++first) {
+      }
+      peak = std::max(peak, i - first + 1);
+    }
+    return peak;
+  }
+
+  std::vector<Core::TimePoint> syns;
+  std::vector<Core::TimePoint> requests;
+
+private:
+  std::size_t mSeenCount = 0;
+};
+
 } // namespace
 
 TEST_CASE("a flow is delivered and the SYN-ACK triggers an owner notice")
@@ -682,3 +750,140 @@
   f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
   CHECK(f.output.toBalancers.back().message.kind == MessageKind::OwnerNotice);
 }
+
+// Guards against balancers that together exceed the limit, and against a window
+// that wastes what the limit allows.
+TEST_CASE("no sliding second exceeds the limit at twice the load in bursts")
+{
+  ColdFixture f;
+  std::uint16_t caller = 100;
+  REQUIRE(f.request(1));
+  for (std::uint32_t step = 0; step < 8'000; ++step) {
+    f.now += 1ms;
+    f.slowStart->remaining = 10'000ms - std::chrono::milliseconds(step);
+    for (std::uint32_t i = 0; step % 250 == 0 && i < f.kLimit / 2; ++i) {
+      f.request(++caller, { kBalancer.address + i, 7720 });
+    }
+    if (step % 200 == 0 && f.controller.queuedRequests() == 0) {
+      f.sendData(1, 10 + step);
+    }
+    f.controller.tick(f.now);
+    f.answerAll();
+  }
+  CHECK(f.peak(f.syns) <= f.kLimit);
+  CHECK(f.peak(f.requests) <= f.kLimit);
+  // A place is free after at most 1,070 ms, and the next burst takes it.
+  CHECK(f.requests.size() >= f.kLimit * 8'000 / (1'070 + 250));
+
+  SUBCASE("a server that starts again is limited for its whole slow start")
+  {
+    f.slowStart->remaining = 10'000ms;
+    ++f.mapRevision.change;
+    f.request(++caller);
+    f.now += 5s;
+    for (int i = 0; i < 2 * f.kLimit; ++i) {
+      f.request(++caller);
+    }
+    CHECK(f.peak(f.requests) <= f.kLimit);
+  }
+  SUBCASE("the limit ends when the remaining time has passed")
+  {
+    f.now += 3s;
+    f.slowStart.reset();
+    for (int i = 0; i < 2 * f.kLimit; ++i) {
+      CHECK(f.request(++caller));
+    }
+  }
+}
+
+// Guards against a delayed first request that shares a second with newer ones.
+TEST_CASE("a first request keeps its place from the SYN until a second later")
+{
+  ColdFixture f;
+  for (std::uint16_t caller = 1; caller <= f.kLimit; ++caller) {
+    f.forward(Fixture::synPacket(caller));
+    f.sendSynAck(caller);
+  }
+  f.now += 600ms;
+  for (std::uint16_t caller = 1; caller <= f.kLimit; ++caller) {
+    f.sendData(caller, 1);
+  }
+  CHECK(f.requests.size() == f.kLimit);
+  f.now += 900ms;
+  CHECK_FALSE(f.request(99));
+  CHECK(f.rejections().back().message.reason == RejectReason::SlowStartLimit);
+  f.now += 200ms;
+  CHECK(f.request(99));
+}
+
+// Guards against an agent that is suspended between its clock and the delivery,
+// and delivers as many requests again when it resumes.
+TEST_CASE("requests count from the time at which they were sent")
+{
+  ColdFixture f;
+  for (std::uint16_t caller = 1; caller <= f.kLimit; ++caller) {
+    CHECK(f.request(caller));
+  }
+  f.now += 5s;
+  f.controller.recordSent(f.now);
+  CHECK_FALSE(f.request(99));
+  f.now += 1'070ms;
+  CHECK(f.request(99));
+}
+
+// Guards against requests that stay queued although the window has room.
+TEST_CASE("a further request waits until the window has room")
+{
+  ColdFixture f;
+  f.slowStart->limit = 1;
+  REQUIRE(f.request(1));
+  f.sendData(1, 20);
+  CHECK(f.requests.size() == 1);
+  for (int ticks = 0; f.requests.size() == 1 && ticks < 100; ++ticks) {
+    f.now += *f.controller.timeUntilTick();
+    f.controller.tick(f.now);
+    f.answerAll();
+  }
+  CHECK(f.now - f.requests.front() > 1s);
+  CHECK(f.now - f.requests.front() <= 1'070ms);
+}
+
+// Guards against requests of the agent's previous run being forgotten.
+TEST_CASE("an agent that has just started gives a cold server nothing at first")
+{
+  ColdFixture f;
+  f.now -= 1'001ms;
+  CHECK_FALSE(f.request(1));
+  f.sendData(2, 20);
+  CHECK(f.requests.empty());
+  f.now += 100ms;
+  f.controller.tick(f.now);
+  f.answerAll();
+  CHECK(f.requests.size() == 1);
+}
+
+// Guards against a limit that no configuration asked for, and old maps.
+TEST_CASE("only a limit above 0 of the newest map limits")
+{
+  ColdFixture f;
+  SUBCASE("no limit")
+  {
+    f.slowStart.reset();
+  }
+  SUBCASE("limit 0")
+  {
+    f.slowStart->limit = 0;
+  }
+  SUBCASE("the server is not cold in a newer map")
+  {
+    f.request(500);
+    f.slowStart.reset();
+    ++f.mapRevision.change;
+  }
+  for (std::uint16_t caller = 1; caller <= 2 * f.kLimit; ++caller) {
+    CHECK(f.request(caller));
+  }
+  f.mapRevision = {};
+  f.slowStart = { 1, 5'000ms };
+  CHECK(f.request(1'000));
+}
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -82,6 +82,10 @@
       target.agent = agent(number);
       target.zone = number <= 2 ? "z1" : "z2";
       target.slots = 4;
+      if (coldTargets.contains(number)) {
+        target.slowStartUntil = now + 10s;
+        target.slowStartLimit = 20;
+      }
       builder.target("red", target);
     }
     builder.route(routeDeclaration());
@@ -215,6 +219,7 @@
     message.kind = aKind;
     message.sendTime = output.lastSendTimes[aFrom];
     message.load.hasFullHistory = fullHistoryAgents.contains(aFrom);
+    message.load.slowStartBudget = slowStartBudget;
     return message;
   }
   void deliver(const Core::Endpoint& aFrom,
@@ -284,6 +289,10 @@
   std::uint32_t acknowledgment = 0;
   std::set<Core::Endpoint> silentAgents;
   std::set<Core::Endpoint> fullHistoryAgents;
+  /** The targets that are cold in the next map, with a limit of 20. */
+  std::set<std::uint8_t> coldTargets;
+  /** In all messages of agents. */
+  std::uint16_t slowStartBudget = Steering::ReportedLoad::kNoSlowStartLimit;
   Steering::FlowSteerer<Test::TestFormat, FakeOutput> steerer;
 };
 
@@ -1121,3 +1130,47 @@
   exhaustSearch(f);
   CHECK(f.output.toCallers.size() == 1);
 }
+
+// Guards against callers that wait for a cold server while a warm one is free.
+TEST_CASE("a cold target gets a flow only while no warm one is free")
+{
+  Fixture f;
+  f.coldTargets = { 1, 3 };
+  f.setTargets({ 1, 2, 3 }, 2);
+  for (std::uint16_t caller = 1; caller <= 4; ++caller) {
+    f.sendSyn(caller);
+    CHECK(f.lastForwardedTo() == Fixture::agent(2));
+    CHECK_FALSE(f.output.toAgents.back().message.slowStart.has_value());
+  }
+  f.sendSyn(5);
+  CHECK(f.lastForwardedTo() == Fixture::agent(1));
+  REQUIRE(f.output.toAgents.back().message.slowStart.has_value());
+  CHECK(f.output.toAgents.back().message.slowStart->limit == 20);
+  CHECK(f.output.toAgents.back().message.slowStart->remaining == 10s);
+}
+
+// Guards against refused callers, and against ones that wait although there is
+// room.
+TEST_CASE("a flow tries the next cold target at once and then waits for room")
+{
+  Fixture f;
+  f.coldTargets = { 1, 2, 3 };
+  f.setTargets({ 1, 2, 3 }, 2);
+  f.sendSyn(1);
+  f.slowStartBudget = 0;
+  const auto syn = f.packet(1, true);
+  std::set<Core::Endpoint> triedAgents;
+  for (std::size_t i = 1; i <= 3; ++i) {
+    CHECK(f.output.toAgents.size() == i);
+    triedAgents.insert(f.lastForwardedTo());
+    f.rejectPacket(f.lastForwardedTo(), RejectReason::SlowStartLimit, syn);
+  }
+  CHECK(triedAgents.size() == 3);
+  f.sendSyn(2);
+  CHECK(f.output.toAgents.size() == 3);
+  CHECK(f.output.toCallers.empty());
+  f.slowStartBudget = 1;
+  f.sendReport(Fixture::agent(3), 0);
+  CHECK(f.output.toAgents.size() == 4);
+  CHECK(f.lastForwardedTo() == Fixture::agent(3));
+}
--- a/tests/auto/steering/tst_targetselection.cpp
+++ b/tests/auto/steering/tst_targetselection.cpp
@@ -187,3 +187,21 @@
   CHECK(order[3]->zone == "z2");
   CHECK(order[6]->isRemoved());
 }
+
+// Guards against a herd of balancers that all choose the largest budget.
+TEST_CASE("cold targets get flows in proportion to their budgets")
+{
+  const auto free = load(0, 0);
+  const std::vector<Candidate> candidates{
+    { &kLocalTarget, &free, true, false, 10 },
+    { &kOtherLocalTarget, &free, true, false, 30 }
+  };
+  int count = 0;
+  for (std::uint64_t hash = 0; hash < 4'000; ++hash) {
+    const auto* chosen =
+      Steering::selectByBudget(candidates, Steering::mixBits(hash));
+    count += chosen->target == &kOtherLocalTarget ? 1 : 0;
+  }
+  CHECK(count > 2'850);
+  CHECK(count < 3'150);
+}
--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -415,7 +415,7 @@
     route["name"] = name;
     route["host"] = Core::formatAddress(address.address);
     route["prefix"] = absl::StrCat("/", address.port, "/");
-    route["type"] = "idempotent";
+    route["type"] = mSettings.routeType;
     route["aimMs"] = 300;
     route["timeoutMs"] = 4'000;
     route["service"] = name;
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -41,6 +41,8 @@
    * balancers are in rotation, it uses all of them, even those that do not run.
    */
   bool probesReadiness = false;
+  /** The platform's type of the routes; it decides on the flow type. */
+  std::string routeType = "idempotent";
   /**
    * A cold target may get this many requests in any one second; 0 if they are
    * not limited.
--- a/tests/flowsimulation/tst_flowsimulation.cpp
+++ b/tests/flowsimulation/tst_flowsimulation.cpp
@@ -252,23 +252,39 @@
   FlowTesting::FlowSimulationSettings settings;
   settings.coldRequestsPerSecond = 20;
   settings.warmupTime = 5s;
-  const std::vector<std::string> cold{ "t1", "t5" };
-  SUBCASE("after a return of half of the targets")
+  SUBCASE("the warm targets' share falls smoothly as the others return")
   {
+    settings.targetsPerService = 8;
+    settings.routeType = "upload";
     FlowSimulation simulation(settings);
     simulation.advance(2s);
-    for (const auto& name : cold) {
+    for (const auto* name : { "t1", "t3", "t9", "t11" }) {
       simulation.restartTarget(name);
+      simulation.advance(500ms);
     }
-    // The two warm targets have 8 slots of 30 ms, for 266 requests a second.
-    openFlowsEvenly(simulation, 150, 5s);
-    for (const auto& name : cold) {
-      CHECK(simulation.target(name)->requestCount() < 100);
+    const auto warmCount = [&] {
+      std::size_t count = 0;
+      for (const auto* name : { "t5", "t7", "t13", "t15" }) {
+        count += simulation.target(name)->requestCount();
+      }
+      return count;
+    };
+    double lastShare = 1;
+    for (int window = 0; window < 16; ++window) {
+      const auto before = warmCount();
+      openFlowsEvenly(simulation, 400, 500ms);
+      const auto share = static_cast<double>(warmCount() - before) / 200;
+      // At most two targets become warm in a window, so the four that were warm
+      // keep four shares of six.
+      CHECK(share >= lastShare - (1 - 4.0 / 6));
+      lastShare = share;
     }
-    CHECK(answersWithin(simulation, 100ms) >= 740);
-    const auto before = simulation.target("t1")->requestCount();
-    openFlowsEvenly(simulation, 150, 2s);
-    CHECK(simulation.target("t1")->requestCount() > before + 40);
+    // 98% of 3,200 requests, which take 30 ms, or 48 ms at cold targets.
+    CHECK(answersWithin(simulation, 100ms) >= 3'136);
+    const auto before = warmCount();
+    openFlowsEvenly(simulation, 400, 4s);
+    // Equal shares are 0.5.
+    CHECK(static_cast<double>(warmCount() - before) / 1'600 <= 0.6);
     checkNoViolations(simulation);
   }
   SUBCASE("while agents and balancers restart at twice the load")
@@ -280,7 +296,7 @@
     }
     simulation.openFlow("red", 0, 100, 10ms);
     for (int i = 0; i < 4; ++i) {
-      simulation.restartTarget(cold[static_cast<std::size_t>(i) % 2]);
+      simulation.restartTarget(i % 2 == 0 ? "t1" : "t5");
       openFlowsEvenly(simulation, 270, 700ms);
       simulation.killAgent("t1");
       simulation.startAgent("t1");
