Merge the rate limit of cold servers with the service order

Both change the admission at agents and the placement at balancers. A limited cold server is selected by its budget, as before the merge; the deadline that the service order computes decides whether the flow is on time.

--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -2,9 +2,25 @@
 
 #include "steering/fleetmap.h"
 #include "steering/replyprogress.h"
+#include "steering/slowstartlimiter.h"
+
+#include <algorithm>
 
 namespace Steering {
 
+std::optional<std::uint32_t>
+LoadEstimate::slowStartBudget(std::uint16_t aLimit, Core::TimePoint aNow) const
+{
+  if (aLimit == 0) {
+    return std::nullopt;
+  }
+  const bool isRecent = reportedAt != Core::TimePoint{} &&
+                        aNow - reportedAt <= SlowStartLimiter::kWindow;
+  const std::uint32_t budget =
+    isRecent ? std::min(aLimit, reported.slowStartBudget) : aLimit;
+  return budget - std::min(unreportedFlows, budget);
+}
+
 AgentLoadTable::Entry&
 AgentLoadTable::findOrInsert(const Core::Endpoint& aAgent)
 {
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -104,9 +104,12 @@
     if (aReason == RejectReason::Full) {
       mContext.counters.increment(SteeringCounter::FlowsTurnedAway);
       ++cachedFlow.fullRejections;
-    } else {
+    } else if (!isWithoutBudget(aFrom, aReason, aNow)) {
       cachedFlow.excludedAgents.add(aFrom);
     }
+    if (aReason == RejectReason::SlowStartLimit) {
+      mContext.counters.increment(SteeringCounter::SlowStartRejects);
+    }
     if (aReason == RejectReason::Refused ||
         aReason == RejectReason::WrongService ||
         aReason == RejectReason::Draining ||
@@ -427,15 +430,19 @@
                                  Core::TimePoint aNow)
   {
     const auto* pending = mPendingFlows.find(aFlow);
-    const auto* service = serviceOf(aFlow);
-    if (pending == nullptr || service == nullptr || !pending->isQueued() ||
-        !isEvacuated(*service, aNow)) {
+    const auto* route = mContext.findRoute(aFlow);
+    if (pending == nullptr || route == nullptr || !pending->isQueued()) {
+      return;
+    }
+    const auto& service =
+      mContext.map->services()[serviceIndexOf(aFlow, *route)];
+    if (!isEvacuated(service, aNow)) {
       return;
     }
     if (const auto* agent = unansweredEvacuatedAgent(*pending)) {
       CachedFlow copy;
       copy.agent = *agent;
-      mContext.forward(aPacket, *mContext.findRoute(aFlow), copy);
+      mContext.forward(aPacket, *route, copy);
     }
   }
 
@@ -465,7 +472,7 @@
     }
     auto& cachedFlow = mContext.flowCache.findOrInsert(flow, aNow);
     collectCandidates(service, cachedFlow, aNow);
-    if (mCandidates.empty()) {
+    if (mCandidates.empty() && mLimitedCandidates.empty()) {
       const bool isRejected = isRejectedByAll(service, cachedFlow, aNow);
       const bool isServiceEvacuated = isEvacuated(service, aNow);
       const bool isUnplaceable = isRejected || isServiceEvacuated;
@@ -512,9 +519,10 @@
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       aNow - aPending.firstSentAt);
     const auto* chosen =
-      age + aLimits.serviceTime < aRoute.latencyObjective
-        ? selectForOnTimeFlow(aService, aRoute, flowHash(aPending.flow))
-        : selectForLateFlow(mCandidates);
+      select(aService,
+             aRoute,
+             flowHash(aPending.flow),
+             age + aLimits.serviceTime < aRoute.latencyObjective);
     if (chosen == nullptr) {
       return;
     }
@@ -560,6 +568,9 @@
         .add("zone", aChosen.target->zone)
         .add("waitedMs", aAge)
         .add("revision", formatMapRevision(mContext.map->revision()));
+      if (aChosen.slowStartBudget) {
+        fields.add("slowStartBudget", *aChosen.slowStartBudget);
+      }
       if (load.reportedAt != Core::TimePoint{}) {
         fields.add("loadAgeMs",
                    std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -569,18 +580,44 @@
     });
   }
 
+  /**
+   * Cold targets with a limit get what the other targets cannot take at once.
+   * If the cold ones have no free slot either, the others are preferred.
+   */
+  const Candidate* select(const Service& aService,
+                          const Route& aRoute,
+                          std::uint64_t aHash,
+                          bool aIsOnTime)
+  {
+    const auto selectFrom = [&](const std::vector<Candidate>& aCandidates) {
+      return aIsOnTime
+               ? selectForOnTimeFlow(aCandidates, aService, aRoute, aHash)
+               : selectForLateFlow(aCandidates);
+    };
+    if (!mLimitedCandidates.empty() && !hasFreeTarget(mCandidates)) {
+      const auto* cold = selectByBudget(mLimitedCandidates, aHash);
+      if (cold != nullptr) {
+        return cold;
+      }
+    }
+    const auto* chosen = selectFrom(mCandidates);
+    return chosen != nullptr ? chosen : selectFrom(mLimitedCandidates);
+  }
+
   /** A target that can respond on time; null if there is none. */
-  const Candidate* selectForOnTimeFlow(const Service& aService,
-                                       const Route& aRoute,
-                                       std::uint64_t aHash)
+  const Candidate* selectForOnTimeFlow(
+    const std::vector<Candidate>& aCandidates,
+    const Service& aService,
+    const Route& aRoute,
+    std::uint64_t aHash)
   {
-    mShortlist = shortlist(mCandidates, aHash);
+    mShortlist = shortlist(aCandidates, aHash);
     const auto* chosen = selectTarget(mShortlist, aRoute.flowType, aHash);
     if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
       chosen = selectTarget(mShortlist, FlowType::OneRequest, aHash);
     }
     if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(mCandidates, FlowType::OneRequest, aHash);
+      chosen = selectTarget(aCandidates, FlowType::OneRequest, aHash);
     }
     const bool isOnTime =
       chosen != nullptr &&
@@ -600,25 +637,54 @@
     return aRoute.priority < aService.leastUrgent ? 2 * limit : limit;
   }
 
+  /**
+   * Whether the report in a reject keeps the target from being selected again.
+   * If the map of this balancer shows no limit, the report has no effect.
+   */
+  bool isWithoutBudget(const Core::Endpoint& aAgent,
+                       RejectReason aReason,
+                       Core::TimePoint aNow) const
+  {
+    const auto* target =
+      mContext.map == nullptr ? nullptr : mContext.map->findTarget(aAgent);
+    return aReason == RejectReason::SlowStartLimit && target != nullptr &&
+           target->hasSlowStartLimit(aNow);
+  }
+
   void collectCandidates(const Service& aService,
                          const CachedFlow& aCachedFlow,
                          Core::TimePoint aNow)
   {
     mCandidates.clear();
+    mLimitedCandidates.clear();
     for (const auto& target : aService.targets) {
       const bool isExcluded =
         !target.acceptsNewFlows(aNow) ||
         aCachedFlow.excludedAgents.contains(target.agent) ||
         !mContext.loads.isUsable(target.agent, aNow);
       if (!isExcluded) {
-        mCandidates.push_back({ &target,
-                                &mContext.loads.find(target.agent),
-                                target.zone == mContext.config.zone,
-                                target.slowStartUntil <= aNow });
+        addCandidate(target, aNow);
       }
     }
   }
 
+  void addCandidate(const Target& aTarget, Core::TimePoint aNow)
+  {
+    const auto& load = mContext.loads.find(aTarget.agent);
+    const std::uint16_t limit =
+      aTarget.hasSlowStartLimit(aNow) ? aTarget.slowStartLimit : 0;
+    const Candidate candidate{ &aTarget,
+                               &load,
+                               aTarget.zone == mContext.config.zone,
+                               aTarget.slowStartUntil <= aNow,
+                               load.slowStartBudget(limit, aNow) };
+    if (!candidate.slowStartBudget) {
+      mCandidates.push_back(candidate);
+    } else if (*candidate.slowStartBudget > 0) {
+      mLimitedCandidates.push_back(candidate);
+    }
+  }
+
   /**
    * Whether every target that accepts new flows rejected this one. A target
    * that did not reply does not count as rejecting: its SYN-ACK may have
@@ -698,6 +764,8 @@
   absl::flat_hash_map<std::uint32_t, ServiceOrder> mOrders;
   SecondAttemptBudget mSecondAttempts;
   std::vector<Candidate> mCandidates;
+  /** Cold targets with a limit that have budget left. */
+  std::vector<Candidate> mLimitedCandidates;
   /** The candidates at which other balancers find the flow's owner quickly. */
   std::vector<Candidate> mShortlist;
   Core::TimePoint mLastRetryAt{};
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -40,6 +40,8 @@
   RequestsGivenUp,
   FlowsRefusedUnanswerable,
   FlowsChosenAgain,
+  SlowStartRejects,
+  SlowStartWaits,
   Count,
 };
 
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -42,6 +42,7 @@
   RequestHeld = 323,
   RequestAnswered = 324,
   RequestGivenUp = 325,
+  SlowStartLimited = 326,
   DrainStarted = 400,
   DrainFinished = 401,
   DrainDeadline = 402,
