Steering: Inject cold targets into random flow schedules

Cause: the limit of cold targets was only tested with fixed schedules. A place whose round ends in the next 10 ms was counted twice when its first request arrived, and a busy local target could bring a flow to a cold one while a remote one was free.

Change: half of the schedules limit cold targets; the fleet or added targets start cold. Places move only after a delay that the margin does not cover. With a free target that is not limited, cold ones are not considered.

--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -306,11 +306,12 @@
       return aIsOnTime ? selectForOnTimeFlow(aCandidates, aRoute, aHash)
                        : selectForLateFlow(aCandidates);
     };
-    if (!mLimitedCandidates.empty() && !hasFreeTarget(mCandidates)) {
-      const auto* cold = selectByBudget(mLimitedCandidates, aHash);
-      if (cold != nullptr) {
-        return cold;
-      }
+    if (mLimitedCandidates.empty() || hasFreeTarget(mCandidates)) {
+      return selectFrom(mCandidates);
+    }
+    const auto* cold = selectByBudget(mLimitedCandidates, aHash);
+    if (cold != nullptr) {
+      return cold;
     }
     const auto* chosen = selectFrom(mCandidates);
     return chosen != nullptr ? chosen : selectFrom(mLimitedCandidates);
--- a/src/libs/steering/slowstartlimiter.cpp
+++ b/src/libs/steering/slowstartlimiter.cpp
@@ -54,7 +54,7 @@
 {
   const auto number = bucketNumber(aTakenAt);
   auto& bucket = bucketOf(number);
-  if (bucket.number == number) {
+  if (aSentAt - aTakenAt >= kMaxSendDelay && bucket.number == number) {
     add(bucketNumber(aSentAt), std::exchange(bucket.count, 0));
   }
 }
--- a/src/libs/steering/slowstartlimiter.h
+++ b/src/libs/steering/slowstartlimiter.h
@@ -30,6 +30,8 @@
    * in which a process with a fraction of a core is scheduled once.
    */
   static constexpr std::chrono::milliseconds kMargin{ 50 };
+  /** The part of the margin that covers the delay within the agent. */
+  static constexpr std::chrono::milliseconds kMaxSendDelay{ 20 };
   /** Resolution of the window; a place is used for up to two of these longer.
    */
   static constexpr std::chrono::milliseconds kBucketTime{ 10 };
@@ -57,8 +59,8 @@
   /** Takes a place, whether one is free or not. */
   void take(Core::TimePoint aNow);
   /**
-   * Moves the places that were taken at aTakenAt, because their requests were
-   * sent only at aSentAt.
+   * Moves the places that were taken at aTakenAt if their requests were sent so
+   * much later, at aSentAt, that the margin does not cover it.
    */
   void move(Core::TimePoint aTakenAt, Core::TimePoint aSentAt);
   /** Frees a place that was taken at aTakenAt; no-op if it is free again. */
--- a/tests/flowsimulation/flowschedule.cpp
+++ b/tests/flowsimulation/flowschedule.cpp
@@ -79,6 +79,11 @@
     if (random() % 3 == 0) {
       narrowLinks(settings, random);
     }
+    if (random() % 2 == 0) {
+      settings.coldRequestsPerSecond = 5 + random() % 30;
+      settings.warmupTime = 4s;
+      settings.isFleetCold = random() % 3 == 0;
+    }
     return settings;
   }
 
