--- a/tests/auto/steering/tst_serviceorder.cpp
+++ b/tests/auto/steering/tst_serviceorder.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <queue>
 #include <random>
 #include <string>
@@ -112,7 +113,7 @@
       // 3% take 7 times the rest; the mean is as stated.
       const auto usualMs = requestClass.workMs / 1.18;
       const auto workMs = isSlow(mRandom) ? 7 * usualMs : usualMs;
-      const auto work = milliseconds(static_cast<int>(workMs + 0.5));
+      const auto work = milliseconds(std::lround(workMs));
       mArrivals.push_back({ at, at, aClass, work });
     }
   }
@@ -327,28 +328,27 @@
   }
 }
 
-TEST_CASE("service order: overload at 1.2 times the capacity")
+TEST_CASE("service order: value delivered under overload, after a power loss "
+          "and in bursts of the least urgent class")
 {
-  compare({ 1.2, 0, true, 0ms });
-}
-
-TEST_CASE("service order: overload at twice the capacity")
-{
-  compare({ 2, 0, true, 0ms });
-}
-
-TEST_CASE("service order: return of all callers after a power loss of 1.3 s")
-{
-  compare({ 1, 0, false, 1'300ms });
-}
-
-TEST_CASE("service order: the least urgent class at 2.5 times its usual load")
-{
-  compare({ 1, 1.5, false, 0ms });
-}
-
-TEST_CASE("service order: a burst of the least urgent class at 2.5 times the "
-          "capacity")
-{
-  compare({ 1, 2.5, true, 0ms });
+  SUBCASE("1.2 times the capacity")
+  {
+    compare({ 1.2, 0, true, 0ms });
+  }
+  SUBCASE("twice the capacity")
+  {
+    compare({ 2, 0, true, 0ms });
+  }
+  SUBCASE("return after 1.3 s without power")
+  {
+    compare({ 1, 0, false, 1'300ms });
+  }
+  SUBCASE("least urgent class at 2.5 times its usual load")
+  {
+    compare({ 1, 1.5, false, 0ms });
+  }
+  SUBCASE("least urgent class at 2.5 times the capacity")
+  {
+    compare({ 1, 2.5, true, 0ms });
+  }
 }
