Steering: Give several waiting classes their tenth of the slots each

Cause: two classes that wait equally long became due for the same slot, so that the second one got 99 of 1,000 slots.

Change: a class gets its slot earlier if the ones that have waited as long need the rest of the interval.

--- a/src/libs/steering/serviceorder.cpp
+++ b/src/libs/steering/serviceorder.cpp
@@ -28,20 +28,34 @@
   return isNewestFirst == (aLeft.number > aRight.number);
 }
 
+bool
+ServiceOrder::isShareDue(absl::Span<const WaitingRequest> aHeads,
+                         std::uint8_t aPriority) const
+{
+  std::bitset<kClassCount> hasWaitedAsLong;
+  for (const auto& head : aHeads) {
+    if (mSlotsSinceService[head.priority] >= mSlotsSinceService[aPriority]) {
+      hasWaitedAsLong.set(head.priority);
+    }
+  }
+  return mSlotsSinceService[aPriority] + hasWaitedAsLong.count() >=
+         kShareInterval;
+}
+
 std::size_t
 ServiceOrder::selectNext(absl::Span<const WaitingRequest> aHeads,
                          Core::TimePoint aNow) const
 {
+  const bool isAnyShareDue =
+    std::any_of(aHeads.begin(), aHeads.end(), [&](const auto& aHead) {
+      return isShareDue(aHeads, aHead.priority);
+    });
   const auto next = std::min_element(
-    aHeads.begin(),
-    aHeads.end(),
-    [this, aNow](const auto& aLeft, const auto& aRight) {
-      const auto leftWait = mSlotsSinceService[aLeft.priority];
-      const auto rightWait = mSlotsSinceService[aRight.priority];
-      const bool isShareOfAny =
-        isShareDue(aLeft.priority) || isShareDue(aRight.priority);
-      if (isShareOfAny && leftWait != rightWait) {
-        return leftWait > rightWait;
+    aHeads.begin(), aHeads.end(), [&](const auto& aLeft, const auto& aRight) {
+      const auto leftSlots = mSlotsSinceService[aLeft.priority];
+      const auto rightSlots = mSlotsSinceService[aRight.priority];
+      if (isAnyShareDue && leftSlots != rightSlots) {
+        return leftSlots > rightSlots;
       }
       return isServedBefore(aLeft, aRight, aNow);
     });
--- a/src/libs/steering/serviceorder.h
+++ b/src/libs/steering/serviceorder.h
@@ -50,8 +50,7 @@
  *   can still be answered on time, while newer ones have more time left. If the
  *   service time is not considered, the newest of those on time comes first:
  *   the older ones may be late in any case.
- * - A waiting class that got none of the last kShareInterval - 1 slots gets the
- *   next one.
+ * - A class that waits gets at least one of kShareInterval slots.
  *
  * Classes are told apart by their priority. Used by one thread.
  */
@@ -93,10 +92,12 @@
     std::chrono::milliseconds aLatencyObjective);
 
 private:
-  bool isShareDue(std::uint8_t aPriority) const
-  {
-    return mSlotsSinceService[aPriority] >= kShareInterval - 1;
-  }
+  /**
+   * Whether the class and those that have waited at least as long need all
+   * slots that are left of their intervals.
+   */
+  bool isShareDue(absl::Span<const WaitingRequest> aHeads,
+                  std::uint8_t aPriority) const;
 
   /** Slots that other classes got while the class waited, by priority. */
   std::array<std::uint8_t, kClassCount> mSlotsSinceService{};
--- a/tests/auto/steering/tst_serviceorder.cpp
+++ b/tests/auto/steering/tst_serviceorder.cpp
@@ -298,9 +298,9 @@
     }
     ++served[queue.takeNext(kStart)->waiting.priority];
   }
-  CHECK(served[1] >= 99);
-  CHECK(served[2] >= 99);
-  CHECK(served[0] >= 790);
+  CHECK(served[1] >= 100);
+  CHECK(served[2] >= 100);
+  CHECK(served[0] >= 800);
 }
 
 TEST_CASE("service order: without priorities and service times, the order is "
