Config: Let a document evacuate zones

Cause: an operator who takes a zone out of service had to mark each of its targets as draining, and to find the same targets again afterwards.

Change: the optional list evacuatedZones names the zones and the revision since which each is evacuated, so that a process that starts later knows it too.

--- a/src/libs/config/document.cpp
+++ b/src/libs/config/document.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/escaping.h>
 #include <sodium.h>
 
+#include <algorithm>
 #include <array>
 
 namespace Config {
@@ -71,4 +72,13 @@
   return bestMatch;
 }
 
+bool
+Document::isZoneEvacuated(absl::string_view aZone) const
+{
+  return std::any_of(
+    evacuatedZones.begin(),
+    evacuatedZones.end(),
+    [aZone](const EvacuatedZone& aEntry) { return aEntry.name == aZone; });
+}
+
 } // namespace Config
--- a/src/libs/config/document.h
+++ b/src/libs/config/document.h
@@ -98,6 +98,16 @@
   std::vector<std::string> zones;
 };
 
+/** A zone that gets no new flows; flows that are open there continue. */
+struct EvacuatedZone
+{
+  std::string name;
+  /** First revision of the document in which the zone is evacuated. */
+  std::uint64_t sinceRevision = 0;
+
+  bool operator==(const EvacuatedZone&) const = default;
+};
+
 /** The configuration document: one revision of all that operators declare. */
 struct Document
 {
@@ -111,11 +121,14 @@
   /** A target gets its full share of flows only this time after its start. */
   std::chrono::milliseconds slowStart{ 0 };
   std::vector<Region> regions;
+  /** Empty if no zone is evacuated. */
+  std::vector<EvacuatedZone> evacuatedZones;
   std::vector<Member> members;
   std::vector<Service> services;
 
   /** The member with the longest matching prefix; null if there is none. */
   const Member* findMember(std::uint32_t aCallerAddress) const;
+  bool isZoneEvacuated(absl::string_view aZone) const;
 };
 
 /** SHA-256 of a text, in hexadecimal. */
--- a/src/libs/config/documentparser.cpp
+++ b/src/libs/config/documentparser.cpp
@@ -36,12 +36,14 @@
 
 private:
   void readRegions(ObjectReader& aReader, Document& aDocument);
+  void readEvacuatedZones(ObjectReader& aReader, Document& aDocument);
   void readMembers(ObjectReader& aReader, Document& aDocument);
   void readServices(ObjectReader& aReader, Document& aDocument);
   Member readMember(const Json::Value& aValue, const JsonPath& aPath);
   Service readService(const Json::Value& aValue, const JsonPath& aPath);
   void readClasses(ObjectReader& aReader, Service& aService);
   void readTargets(ObjectReader& aReader, Service& aService);
+  void checkZone(ObjectReader& aReader, const std::string& aZone);
   void checkUnique(ObjectReader& aReader,
                    const char* aKey,
                    const std::string& aKind,
@@ -66,6 +68,7 @@
   document.slowStart = reader.millisecondsOr(
     "slowStartMilliseconds", kTimeRangeMs, kDefaultSlowStart);
   readRegions(reader, document);
+  readEvacuatedZones(reader, document);
   readMembers(reader, document);
   readServices(reader, document);
   reader.finish();
@@ -122,6 +125,35 @@
   }
 }
 
+void
+DocumentReader::readEvacuatedZones(ObjectReader& aReader, Document& aDocument)
+{
+  const auto& zones = aReader.array("evacuatedZones", false);
+  const IntegerRange revisionRange{
+    1, static_cast<std::int64_t>(aDocument.revision)
+  };
+  for (Json::ArrayIndex i = 0; i < zones.size(); ++i) {
+    ObjectReader reader(mSource, zones[i], aReader.path("evacuatedZones", i));
+    EvacuatedZone entry;
+    entry.name = reader.string("zone");
+    checkZone(reader, entry.name);
+    checkUnique(reader, "zone", "evacuated zone", entry.name);
+    entry.sinceRevision = static_cast<std::uint64_t>(
+      reader.integer("sinceRevision", revisionRange));
+    reader.finish();
+    aDocument.evacuatedZones.push_back(std::move(entry));
+  }
+}
+
+void
+DocumentReader::checkZone(ObjectReader& aReader, const std::string& aZone)
+{
+  if (!aZone.empty() && !mZones.contains(aZone)) {
+    aReader.addError("zone",
+                     "zone \"" + aZone + "\" is not declared under regions");
+  }
+}
+
 void
 DocumentReader::readMembers(ObjectReader& aReader, Document& aDocument)
 {
@@ -234,10 +266,7 @@
     checkUnique(reader, "name", "target", target.name);
     target.identity = identityOf(target.name);
     target.zone = reader.string("zone");
-    if (!target.zone.empty() && !mZones.contains(target.zone)) {
-      reader.addError(
-        "zone", "zone \"" + target.zone + "\" is not declared under regions");
-    }
+    checkZone(reader, target.zone);
     target.slots =
       static_cast<std::uint32_t>(reader.integer("slots", kSlotRange));
     target.connections = static_cast<std::uint32_t>(
--- a/tests/auto/config/tst_config.cpp
+++ b/tests/auto/config/tst_config.cpp
@@ -2,8 +2,10 @@
 #include <doctest/doctest.h>
 
 #include "config/documentparser.h"
+#include "config/evacuationchanges.h"
 #include "config/instancelist.h"
 #include "config/settings.h"
+#include "config/zoneeditor.h"
 
 #include <absl/strings/str_replace.h>
 
@@ -158,3 +160,85 @@
                 "p", absl::StrReplaceAll(validList, { { "leaving", "gone" } }))
                 .ok());
 }
+
+TEST_CASE("an evacuation of an unknown zone is an error of the document")
+{
+  const auto errorsWith = [](const std::string& aList) {
+    return errorsAfter("\"revision\": 1",
+                       "\"revision\": 3, \"evacuatedZones\": " + aList);
+  };
+  CHECK(errorsWith(R"([{"zone": "pernik", "sinceRevision": 3}])").empty());
+  CHECK(errorsWith(R"([{"zone": "plovdiv", "sinceRevision": 3}])")
+          .find("evacuatedZones[0].zone: zone \"plovdiv\" is not declared "
+                "under regions") != std::string::npos);
+  CHECK(errorsWith(R"([{"zone": "", "sinceRevision": 3}])")
+          .find("expected a non-empty string") != std::string::npos);
+  CHECK(errorsWith(R"([{"zone": "pernik", "sinceRevision": 4}])")
+          .find("expected an integer from 1 to 3, found 4") !=
+        std::string::npos);
+  CHECK(errorsWith(R"([{"zone": "pernik", "sinceRevision": 2},
+                       {"zone": "pernik", "sinceRevision": 3}])")
+          .find("is already declared at evacuatedZones[0].zone") !=
+        std::string::npos);
+  CHECK(errorsWith("[\"pernik\"]").find("expected an object") !=
+        std::string::npos);
+}
+
+// An edit must not lose the operator's comments, nor change other values.
+TEST_CASE("a zone is evacuated and taken back in the text of a document")
+{
+  const auto text = readExample("stalbo/document.json");
+  const auto first = evacuateZone("d", text, "pernik");
+  REQUIRE(first.ok());
+  const auto rest = text.substr(text.find("replayWindow"));
+  CHECK(first->find(rest) != std::string::npos);
+  const auto second = evacuateZone("d", *first, "sofia-a");
+  REQUIRE(second.ok());
+  const std::vector<EvacuatedZone> both{ { "pernik", 2 }, { "sofia-a", 3 } };
+  CHECK(parseDocumentOrStatus("d", *second)->evacuatedZones == both);
+  CHECK(
+    absl::IsFailedPrecondition(evacuateZone("d", *second, "sofia-a").status()));
+  CHECK(absl::IsNotFound(evacuateZone("d", text, "plovdiv").status()));
+
+  for (const auto* zone : { "pernik", "sofia-a" }) {
+    const std::string other = zone == both[0].name ? "sofia-a" : "pernik";
+    const auto returned = returnZone("d", *second, zone);
+    REQUIRE(returned.ok());
+    const auto document = parseDocumentOrStatus("d", *returned);
+    CHECK_FALSE(document->isZoneEvacuated(zone));
+    CHECK(document->isZoneEvacuated(other));
+    CHECK(document->revision == 4);
+    const auto none = returnZone("d", *returned, other);
+    REQUIRE(none.ok());
+    CHECK(none->find(rest) != std::string::npos);
+    CHECK(parseDocumentOrStatus("d", *none)->evacuatedZones.empty());
+    CHECK(evacuateZone("d", *none, zone).ok());
+    CHECK(absl::IsFailedPrecondition(returnZone("d", *none, other).status()));
+  }
+}
+
+// An edit of the earlier of two values moves the position of the later one.
+TEST_CASE("the list of evacuated zones may stand behind the revision")
+{
+  const std::string text =
+    R"({"revision": 9, "regions": [{"name": "r", "zones": ["a", "b"]}],
+        "services": [], // last
+        "evacuatedZones": [{"zone": "a", "sinceRevision": 4}]})";
+  const auto evacuated = evacuateZone("d", text, "b");
+  REQUIRE(evacuated.ok());
+  const std::vector<EvacuatedZone> both{ { "a", 4 }, { "b", 10 } };
+  CHECK(parseDocumentOrStatus("d", *evacuated)->evacuatedZones == both);
+  CHECK(evacuated->find("// last") != std::string::npos);
+}
+
+TEST_CASE("changes of evacuated zones include a zone that was back meanwhile")
+{
+  Document before;
+  before.evacuatedZones = { { "a", 2 }, { "b", 3 }, { "c", 3 } };
+  Document after;
+  after.evacuatedZones = { { "a", 2 }, { "b", 7 } };
+  const auto changes = findEvacuationChanges(&before, after);
+  CHECK(changes.evacuated == std::vector<EvacuatedZone>{ { "b", 7 } });
+  CHECK(changes.returned == std::vector<std::string>{ "c" });
+  CHECK(findEvacuationChanges(nullptr, after).evacuated.size() == 2);
+}
