Ownership: Place no new flow in an evacuated zone

Cause: a document may evacuate zones, but home agents still chose targets in them.

Change: TargetEntry knows whether its zone is evacuated. A home agent chooses no such target, and the agent of an evacuated zone returns a flow that a peer with an older view assigned, at the places that do so for a draining target. The load report of the returned flow tells the peer. If all targets of a service are evacuated, flows are refused at once, also those that are queued. The next request of a UDP caller whose flow has ended goes to another zone. A target of a zone that is taken back repeats the slow start, because an empty target would otherwise get every new flow. A home agent whose peers are all in evacuated zones uses those targets of its stand-in home that a search by any home reaches.

--- a/src/libs/ownership/agentcounters.cpp
+++ b/src/libs/ownership/agentcounters.cpp
@@ -30,6 +30,8 @@
       return "flows_ended";
     case AgentCounter::FlowsReturned:
       return "flows_returned";
+    case AgentCounter::FlowsReturnedEvacuated:
+      return "flows_returned_evacuated";
     case AgentCounter::FlowsRefused:
       return "flows_refused";
     case AgentCounter::FlowsWaited:
--- a/src/libs/ownership/agentcounters.h
+++ b/src/libs/ownership/agentcounters.h
@@ -21,6 +21,8 @@
   FlowsAdopted,
   FlowsEnded,
   FlowsReturned,
+  /** The part of FlowsReturned that the evacuation of the zone causes. */
+  FlowsReturnedEvacuated,
   FlowsRefused,
   FlowsWaited,
   FlowsNotFound,
--- a/src/libs/ownership/agentengine.h
+++ b/src/libs/ownership/agentengine.h
@@ -69,7 +69,7 @@
     auto status = mContext.views.activate(std::move(aView), aNow, previousView);
     if (status.ok()) {
       confirmView(aNow);
-      mOwnerRole.activateView();
+      mOwnerRole.activateView(aNow);
       mLoadReporter.updateReceivers();
     }
     return status;
--- a/src/libs/ownership/homerole.h
+++ b/src/libs/ownership/homerole.h
@@ -116,6 +116,11 @@
       if (!incoming) {
         continue;
       }
+      if (incoming->classView.service->isEvacuated) {
+        queuedFlow.deadline = aNow;
+        refuse(*incoming, aNow);
+        continue;
+      }
       const auto group = capacityGroupOf(*incoming);
       const bool hasCapacity = (isExpired || !fullGroups.contains(group)) &&
                                chooseOwner(*incoming, aNow) != 0;
@@ -243,8 +248,9 @@
   {
     const auto waitLimit = aIncoming.classView.serviceClass->waitLimit;
     const auto sizeBefore = mQueue.size();
-    const bool isQueued =
-      waitLimit.count() > 0 && mQueue.insert(aIncoming, waitLimit, aNow);
+    const bool mayWait =
+      waitLimit.count() > 0 && !aIncoming.classView.service->isEvacuated;
+    const bool isQueued = mayWait && mQueue.insert(aIncoming, waitLimit, aNow);
     if (!isQueued) {
       refuse(aIncoming, aNow);
     } else if (mQueue.size() > sizeBefore) {
@@ -285,6 +291,9 @@
       addPeerIfCandidate(
         service.targets[peerIndex], aIncoming, aNow, candidates);
     }
+    if (candidates.empty()) {
+      addStandIns(service, *ownIndex, aIncoming, aNow, candidates);
+    }
     ChoiceRequest request;
     request.resource = aIncoming.classView.serviceClass->resource;
     request.preference = service.service->zonePreference;
@@ -294,6 +303,62 @@
     return chooseTarget(candidates, request);
   }
 
+  /**
+   * Adds targets that are not peers if this agent and its peers are all in
+   * evacuated zones. They are on the search route of the flow, so that its
+   * owner is found when this agent no longer runs. Their loads are unknown.
+   * A flow that needs a claim is not placed there: its retransmissions would be
+   * answered as unproven, because this agent gets no reports of the owner.
+   */
+  void addStandIns(const Routing::ServiceView& aService,
+                   std::uint32_t aOwnIndex,
+                   const IncomingPacket& aIncoming,
+                   Core::TimePoint aNow,
+                   std::vector<Candidate>& aCandidates) const
+  {
+    if (aIncoming.needsClaim() || !hasOnlyEvacuatedPeers(aService, aOwnIndex)) {
+      return;
+    }
+    const auto route = mPlacement.commonSearchRoute(aIncoming, aNow);
+    const auto& excluded = aIncoming.header.route;
+    const auto addIfOnRoute = [&](std::uint32_t aIndex) {
+      const auto& entry = aService.targets[aIndex];
+      if (entry.acceptsNewFlows() && contains(route, entry.endpoint) &&
+          !contains(excluded, entry.endpoint)) {
+        aCandidates.push_back(
+          { entry.target->identity,
+            entry.target->zone,
+            { 0, entry.target->slots, 0, entry.target->connections } });
+      }
+    };
+    for (const auto homeIndex :
+         aService.homeSelector.homes(aIncoming.flowHash)) {
+      addIfOnRoute(homeIndex);
+      for (const auto peerIndex : aService.homeSelector.peers(homeIndex)) {
+        addIfOnRoute(peerIndex);
+      }
+    }
+  }
+
+  static bool hasOnlyEvacuatedPeers(const Routing::ServiceView& aService,
+                                    std::uint32_t aOwnIndex)
+  {
+    const auto peers = aService.homeSelector.peers(aOwnIndex);
+    return !aService.isEvacuated &&
+           aService.targets[aOwnIndex].isZoneEvacuated &&
+           std::all_of(peers.begin(), peers.end(), [&](std::uint32_t aPeer) {
+             return aService.targets[aPeer].isZoneEvacuated;
+           });
+  }
+
+  template<typename Endpoints>
+  static bool contains(const Endpoints& aEndpoints,
+                       const Core::Endpoint& aEndpoint)
+  {
+    return std::find(aEndpoints.begin(), aEndpoints.end(), aEndpoint) !=
+           aEndpoints.end();
+  }
+
   void addPeerIfCandidate(const Routing::TargetEntry& aPeer,
                           const IncomingPacket& aIncoming,
                           Core::TimePoint aNow,
@@ -309,7 +374,7 @@
       peerLoad != nullptr &&
       (peerLoad->hasFullHistory || !aIncoming.needsClaim());
     const bool isCandidate = mayAdmitFlow && !isExcluded &&
-                             !peerLoad->isDraining && !aPeer.leaving &&
+                             !peerLoad->isDraining && aPeer.acceptsNewFlows() &&
                              !aPeer.endpoint.isNull() &&
                              mContext.peerLoads.isResponsive(identity, aNow);
     if (isCandidate) {
--- a/src/libs/ownership/ownerrole.h
+++ b/src/libs/ownership/ownerrole.h
@@ -50,11 +50,17 @@
   }
 
   /** Applies the limits in the document of the current view. */
-  void activateView()
+  void activateView(Core::TimePoint aNow)
   {
     const auto& view = *mContext.views.current();
     const auto* targetEntry = view.findTarget(mContext.self.target);
     mIsInDocument = targetEntry != nullptr;
+    const bool wasZoneEvacuated = mIsZoneEvacuated;
+    mIsZoneEvacuated = mIsInDocument && targetEntry->isZoneEvacuated;
+    if (wasZoneEvacuated && !mIsZoneEvacuated) {
+      // An empty target is the least utilized one and would get every new flow.
+      mUsage.setStartedAt(aNow);
+    }
     if (mIsInDocument) {
       mServiceName = view.serviceOfTarget(mContext.self.target)->service->name;
       mUsage.setLimits(view.document(), *targetEntry->target);
@@ -82,8 +88,8 @@
   {
     const auto* targetEntry =
       mContext.views.current()->findTarget(mContext.self.target);
-    return mIsInDocument && !mContext.isDraining && !targetEntry->leaving &&
-           mHealth.isHealthy(aNow);
+    return mIsInDocument && !mContext.isDraining &&
+           targetEntry->acceptsNewFlows() && mHealth.isHealthy(aNow);
   }
 
   /** True if the flow would be admitted. */
@@ -111,6 +117,13 @@
       removeFlow(aIncoming.flow);
       return DeliveryResult::NotOwned;
     }
+    const bool isNewRequest =
+      aIncoming.isUdp() && ownedFlow->state == FlowState::Ended;
+    if (mIsZoneEvacuated && isNewRequest && !aIncoming.needsClaim()) {
+      // Reopening an ended flow would be new work in the evacuated zone.
+      removeFlow(aIncoming.flow);
+      return DeliveryResult::NotOwned;
+    }
     if (isUnansweredSyn(aIncoming.packet, *ownedFlow) &&
         !mHealth.isHealthy(aNow)) {
       // Only the SYN was delivered, so that another target may own the flow.
@@ -149,6 +162,9 @@
         mContext.claims.markRejected(aIncoming.flow, aNow);
       }
       mContext.counters.increment(AgentCounter::FlowsReturned);
+      if (mIsZoneEvacuated) {
+        mContext.counters.increment(AgentCounter::FlowsReturnedEvacuated);
+      }
       return AdmitResult::Returned;
     }
     openFlow(aIncoming, aNow);
@@ -408,6 +424,7 @@
   std::vector<Config::ServiceClass> mClasses;
   BackendHealth mHealth;
   bool mIsInDocument = false;
+  bool mIsZoneEvacuated = false;
 };
 
 } // namespace Ownership
--- a/src/libs/ownership/peerloadtable.h
+++ b/src/libs/ownership/peerloadtable.h
@@ -27,8 +27,8 @@
 {
   Load load;
   /**
-   * True if the peer accepts no new flow: it is draining, its backend server is
-   * unhealthy, or it is not in the document.
+   * True if the peer accepts no new flow: it is draining, its zone is
+   * evacuated, its backend server is unhealthy, or it is not in the document.
    */
   bool isDraining = false;
   /** True if the peer has been running for the whole replay window. */
--- a/src/libs/ownership/placement.h
+++ b/src/libs/ownership/placement.h
@@ -75,19 +75,22 @@
     return PlaceResult::Placed;
   }
 
+  /** The agents that a search by any of the flow's homes reaches. */
+  SearchRoute commonSearchRoute(const IncomingPacket& aIncoming,
+                                Core::TimePoint aNow) const
+  {
+    auto request = makeSearchRequest(aIncoming, aNow);
+    // The routes of other homes contain this agent and are that much shorter.
+    request.self = 0;
+    return findSearchRoute(mContext.views, request);
+  }
+
   /** Sends the packet from agent to agent until the owner is found. */
   void search(IncomingPacket aIncoming, Core::TimePoint aNow)
   {
-    SearchRequest request;
-    request.service = aIncoming.classView.service->service->identity;
-    request.flowHash = aIncoming.flowHash;
-    request.self = mContext.self.target;
+    auto request = makeSearchRequest(aIncoming, aNow);
     request.recordedOwner = mDirectory.find(aIncoming.flow, aNow);
     request.rotation = mSearchCount++;
-    request.isUnresponsive = [this, aNow](Config::Identity aTarget) {
-      return mContext.peerLoads.find(aTarget) != nullptr &&
-             !mContext.peerLoads.isResponsive(aTarget, aNow);
-    };
     const auto route = findSearchRoute(mContext.views, request);
     aIncoming.header.purpose = Packet::ForwardPurpose::Search;
     aIncoming.header.home = mContext.self.target;
@@ -156,6 +159,20 @@
   /** Minimum time for which an unused directory entry is kept. */
   static constexpr std::chrono::minutes kOwnerRetention{ 10 };
 
+  SearchRequest makeSearchRequest(const IncomingPacket& aIncoming,
+                                  Core::TimePoint aNow) const
+  {
+    SearchRequest request;
+    request.service = aIncoming.classView.service->service->identity;
+    request.flowHash = aIncoming.flowHash;
+    request.self = mContext.self.target;
+    request.isUnresponsive = [this, aNow](Config::Identity aTarget) {
+      return mContext.peerLoads.find(aTarget) != nullptr &&
+             !mContext.peerLoads.isResponsive(aTarget, aNow);
+    };
+    return request;
+  }
+
   void endSearch(IncomingPacket& aIncoming)
   {
     if (aIncoming.needsClaim()) {
--- a/src/libs/routing/fleetview.cpp
+++ b/src/libs/routing/fleetview.cpp
@@ -1,5 +1,7 @@
 #include "routing/fleetview.h"
 
+#include <algorithm>
+
 namespace Routing {
 
 namespace {
@@ -61,10 +63,12 @@
     aInstancesByName)
 {
   const auto serviceIndex = static_cast<std::uint32_t>(mServices.size());
-  ServiceView view{ &aService, createHomeSelector(aService), {} };
+  ServiceView view{ &aService, createHomeSelector(aService), {}, false };
   for (std::uint32_t i = 0; i < aService.targets.size(); ++i) {
     const auto& target = aService.targets[i];
-    TargetEntry entry{ &target, {}, target.draining };
+    TargetEntry entry{
+      &target, {}, target.draining, mDocument->isZoneEvacuated(target.zone)
+    };
     if (const auto it = aInstancesByName.find(target.name);
         it != aInstancesByName.end()) {
       entry.endpoint = it->second->data;
@@ -73,6 +77,11 @@
     view.targets.push_back(entry);
     mTargetIndex[target.identity] = { serviceIndex, i };
   }
+  view.isEvacuated =
+    !view.targets.empty() &&
+    std::all_of(view.targets.begin(),
+                view.targets.end(),
+                [](const auto& aEntry) { return aEntry.isZoneEvacuated; });
   for (std::uint32_t i = 0; i < aService.classes.size(); ++i) {
     const auto& serviceClass = aService.classes[i];
     const AddressKey key{ { aService.address, serviceClass.port },
--- a/src/libs/routing/fleetview.h
+++ b/src/libs/routing/fleetview.h
@@ -26,6 +26,10 @@
    * marks its agent as leaving.
    */
   bool leaving = false;
+  /** True if the document evacuates the target's zone. */
+  bool isZoneEvacuated = false;
+
+  bool acceptsNewFlows() const { return !leaving && !isZoneEvacuated; }
 };
 
 /** A service, its targets and the selection of homes among them. */
@@ -35,6 +39,11 @@
   HomeSelector homeSelector;
   /** In document order, which the indexes from HomeSelector refer to. */
   std::vector<TargetEntry> targets;
+  /**
+   * True if there are targets and all of them are in evacuated zones, so that
+   * no target may get a new flow until the document changes.
+   */
+  bool isEvacuated = false;
 
   /** Index of a target; std::nullopt if it is not in this service. */
   std::optional<std::uint32_t> indexOf(Config::Identity aTarget) const;
--- a/tests/auto/routing/tst_routing.cpp
+++ b/tests/auto/routing/tst_routing.cpp
@@ -184,3 +184,27 @@
   history.discardReplacedBefore(late, [](const FleetView&) { return false; });
   CHECK(history.previous().empty());
 }
+
+// A service with one target left in service must not refuse flows at once.
+TEST_CASE("a service is evacuated only if the zones of all its targets are")
+{
+  auto document = std::make_shared<Config::Document>();
+  document->services.resize(2);
+  document->services[1].identity = 1;
+  for (const auto* zone : { "a", "b" }) {
+    Config::Target target;
+    target.name = zone;
+    target.identity = Config::identityOf(zone);
+    target.zone = zone;
+    document->services[0].targets.push_back(target);
+  }
+  document->evacuatedZones = { { "a", 1 } };
+  const FleetView oneZone(document, {});
+  CHECK_FALSE(oneZone.findTarget(Config::identityOf("a"))->acceptsNewFlows());
+  CHECK(oneZone.findTarget(Config::identityOf("b"))->acceptsNewFlows());
+  CHECK_FALSE(oneZone.services()[0].isEvacuated);
+  document->evacuatedZones.push_back({ "b", 1 });
+  const FleetView bothZones(document, {});
+  CHECK(bothZones.services()[0].isEvacuated);
+  CHECK_FALSE(bothZones.services()[1].isEvacuated);
+}
--- a/tests/scenarios/scenariorunner.cpp
+++ b/tests/scenarios/scenariorunner.cpp
@@ -204,6 +204,8 @@
       { "promote-add", [&] { promoteAdd(firstArgument); } },
       { "promote-remove", [&] { promoteRemove(firstArgument); } },
       { "promote-drain", [&] { promoteDrain(firstArgument); } },
+      { "promote-evacuate", [&] { promoteEvacuation(firstArgument); } },
+      { "promote-return", [&] { promoteReturn(firstArgument); } },
       { "promote-slots", [&] { promoteSlots(number(aTokens, 1)); } },
     };
     const auto it = actions.find(aTokens[0]);
@@ -274,6 +276,20 @@
     });
   }
 
+  void promoteEvacuation(const std::string& aZone)
+  {
+    startedSimulation().promote([&](Simulation::FleetSettings& aSettings) {
+      aSettings.evacuatedZones.insert(aZone);
+    });
+  }
+
+  void promoteReturn(const std::string& aZone)
+  {
+    startedSimulation().promote([&](Simulation::FleetSettings& aSettings) {
+      aSettings.evacuatedZones.erase(aZone);
+    });
+  }
+
   void promoteSlots(std::int64_t aSlots)
   {
     startedSimulation().promote(
--- a/tests/simulation/fleetbuilder.cpp
+++ b/tests/simulation/fleetbuilder.cpp
@@ -100,6 +100,9 @@
   document->digest = absl::StrCat("digest-", aSettings.revision);
   document->replayWindow = aSettings.replayWindow;
   document->slowStart = aSettings.slowStart;
+  for (const auto& zone : aSettings.evacuatedZones) {
+    document->evacuatedZones.push_back({ zone, aSettings.revision });
+  }
   Config::Member member;
   member.name = "guild";
   member.address = 0x0a010000;
--- a/tests/simulation/fleetbuilder.h
+++ b/tests/simulation/fleetbuilder.h
@@ -28,6 +28,7 @@
   std::uint64_t revision = 1;
   std::vector<std::string> targets;
   std::set<std::string> draining;
+  std::set<std::string> evacuatedZones;
   /** Per target. */
   std::uint32_t slots = 4;
   /** Per target. */
