Lacewingctl: Evacuate a zone in a document and show it

Cause: an evacuation had to be written into the document by hand, and no process showed which zones are evacuated.

Change: `lacewingctl evacuate FILE ZONE` and `lacewingctl return FILE ZONE` print the operator's text with the change under the next revision; no command edited documents before, and none writes to its input. compare, explain and status name evacuated zones, and explain leaves out candidates that the document drains, as its comment says. Both roles write event 220 or 221 when a document changes a zone, and list the zones with their first revision in /status and /metrics.

--- a/src/lacewingctl/commands.h
+++ b/src/lacewingctl/commands.h
@@ -28,6 +28,14 @@
 int
 runCompare(const CommandLine& aCommandLine);
 
+/** Prints a document in which one more zone is evacuated. */
+int
+runEvacuate(const CommandLine& aCommandLine);
+
+/** Prints a document in which an evacuated zone is in service again. */
+int
+runReturn(const CommandLine& aCommandLine);
+
 /** Prints the home agents and the owner that a flow would get, and why. */
 int
 runExplain(const CommandLine& aCommandLine);
--- a/src/lacewingctl/comparecommand.cpp
+++ b/src/lacewingctl/comparecommand.cpp
@@ -52,6 +52,10 @@
   settings["drainDeadline"] =
     absl::StrCat(aDocument.drainDeadline.count(), " ms");
   settings["slowStart"] = absl::StrCat(aDocument.slowStart.count(), " ms");
+  for (const auto& zone : aDocument.evacuatedZones) {
+    settings["evacuated zone " + zone.name] =
+      absl::StrCat("since revision ", zone.sinceRevision);
+  }
   for (const auto& member : aDocument.members) {
     settings["member " + member.name] =
       absl::StrCat(Core::formatAddress(member.address),
--- a/src/lacewingctl/explaincommand.cpp
+++ b/src/lacewingctl/explaincommand.cpp
@@ -55,8 +55,8 @@
 
 /**
  * The candidates for a new flow, with their loads as reported by the agents at
- * the given status endpoints. Draining agents and agents of other services are
- * excluded.
+ * the given status endpoints. Draining agents, agents of evacuated zones and
+ * agents of other services are excluded.
  */
 absl::StatusOr<std::vector<Ownership::Candidate>>
 readCandidates(const Routing::ServiceView& aService,
@@ -70,7 +70,8 @@
     }
     const auto identity = Config::identityOf((*page)["name"].asString());
     const auto index = aService.indexOf(identity);
-    if (!index || (*page)["leaving"].asBool()) {
+    if (!index || (*page)["leaving"].asBool() ||
+        !aService.targets[*index].acceptsNewFlows()) {
       continue;
     }
     const auto& target = *aService.targets[*index].target;
@@ -84,6 +85,16 @@
   return candidates;
 }
 
+/** Name of a target, and why it gets no new flow. */
+std::string
+formatCandidate(const Routing::TargetEntry& aEntry)
+{
+  const char* reason = aEntry.isZoneEvacuated    ? " (zone evacuated)"
+                       : aEntry.target->draining ? " (draining)"
+                                                 : "";
+  return aEntry.target->name + reason;
+}
+
 /** Name of the owner that a home agent would choose for a new flow now. */
 std::string
 chooseOwner(const Routing::ClassView& aClass,
@@ -129,11 +140,9 @@
     result["why"] = "the service has no target; balancers drop the packet";
     return result;
   }
-  result["candidates"].append(service.targets[homes[0]].target->name);
+  result["candidates"].append(formatCandidate(service.targets[homes[0]]));
   for (const auto index : service.homeSelector.peers(homes[0])) {
-    const auto& target = *service.targets[index].target;
-    result["candidates"].append(target.draining ? target.name + " (draining)"
-                                                : target.name);
+    result["candidates"].append(formatCandidate(service.targets[index]));
   }
   result["owner"] =
     "the candidate with the lowest utilization; pass the status "
--- a/src/lacewingctl/main.cpp
+++ b/src/lacewingctl/main.cpp
@@ -12,6 +12,8 @@
   "  digest FILE                    revision and digest of a document\n"
   "  pack FILE OUTPUT               compressed form of a large document\n"
   "  compare FILE FILE              differences between two documents\n"
+  "  evacuate FILE ZONE             the document with the zone evacuated\n"
+  "  return FILE ZONE               the document with the zone in service\n"
   "  explain FILE --from A:P --to A:P --protocol tcp|udp --key HEX\n"
   "          [--agent A:P]...\n"
   "                                 home agents and owner of a flow, and why\n"
@@ -85,6 +87,12 @@
   if (command == "compare") {
     return runCompare(commandLine);
   }
+  if (command == "evacuate") {
+    return runEvacuate(commandLine);
+  }
+  if (command == "return") {
+    return runReturn(commandLine);
+  }
   if (command == "explain") {
     return runExplain(commandLine);
   }
--- a/src/lacewingctl/processcommands.cpp
+++ b/src/lacewingctl/processcommands.cpp
@@ -26,6 +26,12 @@
     aPage["openFlows"].asInt64(),
     aPage["slotsInUse"].asInt64(),
     aPage["slots"].asInt64());
+  for (const auto& entry : aPage["evacuatedZones"]) {
+    std::cout << absl::StrFormat("%-16s zone %s evacuated since revision %d\n",
+                                 "",
+                                 entry["zone"].asString(),
+                                 entry["sinceRevision"].asInt64());
+  }
 }
 
 void
--- a/src/lacewingspread/agent.cpp
+++ b/src/lacewingspread/agent.cpp
@@ -305,6 +305,7 @@
   writer.gauge("connections_in_use", statistics.connectionsInUse);
   writer.gauge("view_revision",
                static_cast<double>(aProcess.store().state().revision));
+  writeEvacuatedZones(aProcess.evacuatedZones(), writer);
   writer.histograms(aHistograms.summaries());
   return writer.page();
 }
--- a/src/lacewingspread/balancer.cpp
+++ b/src/lacewingspread/balancer.cpp
@@ -123,6 +123,7 @@
     writer.counter("datagrams_stale_total", balancer.staleDatagrams());
     writer.gauge("view_revision",
                  static_cast<double>((*process)->store().state().revision));
+    writeEvacuatedZones((*process)->evacuatedZones(), writer);
     return writer.page();
   };
   pages.histograms = [] { return std::string("[]\n"); };
--- a/src/lacewingspread/process.cpp
+++ b/src/lacewingspread/process.cpp
@@ -161,6 +161,14 @@
   }
 }
 
+std::vector<Config::EvacuatedZone>
+Process::evacuatedZones() const
+{
+  const auto view = d->store.state().view;
+  return view == nullptr ? std::vector<Config::EvacuatedZone>()
+                         : view->document().evacuatedZones;
+}
+
 void
 Process::addStatus(Json::Value& aStatus) const
 {
@@ -174,6 +182,13 @@
   aStatus["listIndex"] = Json::Value::UInt64(state.listIndex);
   aStatus["confirmedMillisecondsAgo"] =
     Json::Value::Int64(d->store.timeSinceConfirmation().count());
+  aStatus["evacuatedZones"] = Json::Value(Json::arrayValue);
+  for (const auto& zone : evacuatedZones()) {
+    Json::Value entry;
+    entry["zone"] = zone.name;
+    entry["sinceRevision"] = Json::Value::UInt64(zone.sinceRevision);
+    aStatus["evacuatedZones"].append(entry);
+  }
   aStatus["peers"] = Json::Value::UInt64(d->exchange.peerCount());
   aStatus["serviceCalls"] = Json::Value::UInt64(d->watch.callCount());
   aStatus["exchangedBytes"] = Json::Value::UInt64(d->exchange.exchangedBytes() +
--- a/src/lacewingspread/process.h
+++ b/src/lacewingspread/process.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace Json {
 class Value;
@@ -39,6 +40,9 @@
    */
   void waitForSignal(const std::function<bool()>& aIsDone);
 
+  /** The evacuated zones in the current view. */
+  std::vector<Config::EvacuatedZone> evacuatedZones() const;
+
   /** Adds name, role, zone, view and control traffic to a status page. */
   void addStatus(Json::Value& aStatus) const;
 
--- a/src/lacewingspread/statuspage.cpp
+++ b/src/lacewingspread/statuspage.cpp
@@ -1,5 +1,7 @@
 #include "statuspage.h"
 
+#include "telemetry/metricswriter.h"
+
 #include <json/writer.h>
 
 std::string
@@ -29,3 +31,15 @@
   }
   return formatPage(page);
 }
+
+void
+writeEvacuatedZones(const std::vector<Config::EvacuatedZone>& aZones,
+                    Telemetry::MetricsWriter& aWriter)
+{
+  for (const auto& zone : aZones) {
+    aWriter.gauge("zone_evacuated_since_revision",
+                  "zone",
+                  zone.name,
+                  static_cast<double>(zone.sinceRevision));
+  }
+}
--- a/src/lacewingspread/statuspage.h
+++ b/src/lacewingspread/statuspage.h
@@ -1,11 +1,17 @@
 #pragma once
 
+#include "config/document.h"
 #include "telemetry/counterset.h"
 #include "telemetry/histogramset.h"
 
 #include <json/value.h>
 
 #include <string>
+#include <vector>
+
+namespace Telemetry {
+class MetricsWriter;
+}
 
 /** Formats a JSON page as text. */
 std::string
@@ -15,6 +21,11 @@
 std::string
 histogramPage(const Telemetry::HistogramSet& aHistograms);
 
+/** Writes the revision since which each evacuated zone gets no new flow. */
+void
+writeEvacuatedZones(const std::vector<Config::EvacuatedZone>& aZones,
+                    Telemetry::MetricsWriter& aWriter);
+
 /** A JSON object with the value of each counter, keyed by its name. */
 template<typename Enum>
 Json::Value
--- a/src/libs/control/viewstore.cpp
+++ b/src/libs/control/viewstore.cpp
@@ -3,6 +3,7 @@
 #include "compression/textcodec.h"
 #include "compression/texthistory.h"
 #include "config/documentparser.h"
+#include "config/evacuationchanges.h"
 #include "core/errorcontext.h"
 #include "messages/peermessages.pb.h"
 
@@ -10,6 +11,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <utility>
 
 namespace Control {
 
@@ -50,6 +52,23 @@
     }
   }
 
+  /** The caller must have locked the mutex. */
+  void writeEvacuationChanges(const Config::Document* aBefore)
+  {
+    const auto changes = Config::findEvacuationChanges(aBefore, *document);
+    for (const auto& zone : changes.evacuated) {
+      events.write(
+        Telemetry::Event::ZoneEvacuated,
+        absl::StrCat(
+          "zone ", zone.name, " since revision ", zone.sinceRevision));
+    }
+    for (const auto& zone : changes.returned) {
+      events.write(
+        Telemetry::Event::ZoneReturned,
+        absl::StrCat("zone ", zone, " in revision ", document->revision));
+    }
+  }
+
   absl::StatusOr<std::string> decode(const Compression::TextHistory& aHistory,
                                      const std::string& aData,
                                      const std::string& aBaseDigest,
@@ -117,7 +136,8 @@
                    parsed->digest)));
   }
   d->documentHistory.add(parsed->digest, *text);
-  d->document = std::make_shared<const Config::Document>(std::move(*parsed));
+  const auto before = std::exchange(
+    d->document, std::make_shared<const Config::Document>(std::move(*parsed)));
   d->rebuildView();
   d->events.write(Telemetry::Event::ViewInForce,
                   absl::StrCat("revision ",
@@ -126,6 +146,7 @@
                                d->document->digest,
                                " from ",
                                aSource));
+  d->writeEvacuationChanges(before.get());
   return absl::OkStatus();
 }
 
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -22,6 +22,8 @@
   SettingsReloaded = 207,
   SettingsRefused = 208,
   StoreRestored = 209,
+  ZoneEvacuated = 220,
+  ZoneReturned = 221,
   MalformedPacket = 300,
   WrongService = 301,
   FlowNotFound = 302,
--- a/src/libs/telemetry/metricswriter.h
+++ b/src/libs/telemetry/metricswriter.h
@@ -25,6 +25,17 @@
     absl::StrAppend(&mPage, "lacewingspread_", aName, " ", aValue, "\n");
   }
 
+  /** One value of a gauge with a label, whose value needs no escaping. */
+  void gauge(absl::string_view aName,
+             absl::string_view aLabel,
+             absl::string_view aLabelValue,
+             double aValue)
+  {
+    absl::StrAppend(
+      &mPage, "lacewingspread_", aName, "{", aLabel, "=\"", aLabelValue);
+    absl::StrAppend(&mPage, "\"} ", aValue, "\n");
+  }
+
   template<typename Enum, typename NameOf>
   void counters(const CounterSet<Enum>& aCounters, NameOf aNameOf)
   {
