Steering: Place flows by the expected time to the answer

Cause: the least (inProgress + 1) / slots of the last reports was chosen. What other balancers had sent since was unknown, and the speed of servers was not used: with speeds of 0.7, 0.7 and 1.7 about 1% of the answers were late although most slots were free.

Balancers forecast the load from the age of the report, the service time and the mean load of the target and of its service, and choose the shortest expected time. Times within a tenth of the service time are ordered by the flow's hash.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -244,6 +244,7 @@
     flow.balancer = aFrom;
     flow.wantsOwnerNotice = true;
     flow.waitingSince = aNow - aMessage.age;
+    flow.requestClass = requestClassOf(aMessage);
     mFlows.setLongLived(flow, aMessage.isLongLived);
     if (!isLate(aMessage)) {
       mFlows.expectRequest(key, flow, aNow);
@@ -255,6 +256,15 @@
     deliver(aFrom, aPacket);
   }
 
+  static RequestClass requestClassOf(const AgentMessage& aMessage)
+  {
+    constexpr unsigned kObjectiveBits = 16;
+    return (RequestClass{ aMessage.priority } << kObjectiveBits) |
+           toUint16(static_cast<std::uint32_t>(
+             std::max<std::chrono::milliseconds::rep>(
+               aMessage.latencyObjective.count(), 0)));
+  }
+
   static bool isLate(const AgentMessage& aMessage)
   {
     return aMessage.age >= aMessage.latencyObjective;
@@ -350,6 +360,7 @@
     const auto key = aPacket.flowFromCaller();
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
+    flow.requestClass = requestClassOf(aMessage);
     if (aMessage.wantsOwnerNotice && flow.isConfirmed) {
       sendOwnerNotice(flow.balancer, key, 0, aNow);
     } else {
@@ -529,6 +540,9 @@
     // A late copy of a SYN says nothing about the open flow.
     const bool isLateSyn =
       aPacket.isSyn() && knownFlow != nullptr && knownFlow->isOpen();
+    if (knownFlow != nullptr && !aPacket.isSyn()) {
+      mFlows.recordReturned(*knownFlow);
+    }
     if (!isLateSyn) {
       mQueue.erase(flow);
       mFlows.erase(flow);
@@ -612,7 +626,7 @@
     load.lateRequests =
       toUint16(static_cast<std::uint32_t>(mQueue.size()) - onTime);
     load.longLivedFlows = toUint16(mFlows.longLivedFlows());
-    load.serviceTime = mFlows.serviceTime();
+    load.serviceTime = mFlows.reportedServiceTime();
     load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
     load.isUnavailable =
       mIsDraining || mUnansweredSyns >= kUnresponsiveThreshold;
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -3,6 +3,9 @@
 #include "steering/fleetmap.h"
 #include "steering/replyprogress.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace Steering {
 
 AgentLoadTable::Entry&
@@ -37,6 +40,7 @@
 {
   auto& loadEstimate = findOrInsert(aAgent).loadEstimate;
   clearSuspicion(loadEstimate);
+  updateMean(loadEstimate, aLoad, aNow);
   loadEstimate.reported = aLoad;
   loadEstimate.reportedAt = aNow;
   loadEstimate.unreportedFlows = 0;
@@ -77,6 +81,22 @@
   aEntry.lastProbeAt = {};
 }
 
+void
+AgentLoadTable::updateMean(LoadEstimate& aLoadEstimate,
+                           const ReportedLoad& aLoad,
+                           Core::TimePoint aNow)
+{
+  // Each report counts for the time since the previous one, since reports with
+  // replies come in bursts.
+  constexpr std::chrono::duration<double> kMeanTime{ 1 };
+  const bool isFirst = aLoadEstimate.reportedAt == Core::TimePoint{};
+  const std::chrono::duration<double> elapsed =
+    std::max(aNow - aLoadEstimate.reportedAt, Core::Duration(0));
+  const auto weight = isFirst ? 1 : -std::expm1(-elapsed / kMeanTime);
+  aLoadEstimate.meanInProgress +=
+    weight * (aLoad.inProgress - aLoadEstimate.meanInProgress);
+}
+
 void
 AgentLoadTable::clearSuspicion(LoadEstimate& aLoadEstimate)
 {
--- a/src/libs/steering/agentloadtable.h
+++ b/src/libs/steering/agentloadtable.h
@@ -19,6 +19,8 @@
 {
   ReportedLoad reported;
   Core::TimePoint reportedAt{};
+  /** Mean of ReportedLoad::inProgress over the last second. */
+  double meanInProgress = 0;
   /**
    * New flows of this balancer that the last report does not include. Each is
    * counted as one request.
@@ -137,6 +139,9 @@
 
   Entry& findOrInsert(const Core::Endpoint& aAgent);
   void updateSuspicion(Entry& aEntry, Core::TimePoint aNow);
+  static void updateMean(LoadEstimate& aLoadEstimate,
+                         const ReportedLoad& aLoad,
+                         Core::TimePoint aNow);
   void clearSuspicion(LoadEstimate& aLoadEstimate);
 
   ReplyProgress& mReplies;
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "steering/loadforecast.h"
 #include "steering/pendingflows.h"
-#include "steering/queuetime.h"
 #include "steering/steerercontext.h"
 #include "steering/targetselection.h"
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <chrono>
@@ -221,6 +222,8 @@
     const auto hash = flowHash(flow);
     const auto& service = mContext.map->services()[selectService(*route, hash)];
     collectCandidates(service, cachedFlow, aNow);
+    auto& forecast = mForecasts[service.tag];
+    forecast.update(mCandidates, aNow);
     if (mCandidates.empty()) {
       if (isRejectedByAll(service, cachedFlow, aNow)) {
         refuse(*packet, flow, service);
@@ -230,7 +233,7 @@
       cachedFlow.excludedAgents = cachedFlow.rejectedBy;
     }
     if (cachedFlow.fullRejections < kMaxFullRejections) {
-      sendToTarget(aPending, *packet, *route, cachedFlow, hash, aNow);
+      sendToTarget(aPending, *packet, *route, cachedFlow, hash, forecast, aNow);
     }
     cachedFlow.fullRejections =
       aPending.isQueued() ? 0 : cachedFlow.fullRejections;
@@ -241,13 +244,15 @@
                     const Route& aRoute,
                     CachedFlow& aCachedFlow,
                     std::uint64_t aHash,
+                    const LoadForecast& aForecast,
                     Core::TimePoint aNow)
   {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
       aNow - aPending.firstSentAt);
-    const auto* chosen = age < aRoute.latencyObjective
-                           ? selectForOnTimeFlow(aRoute, aHash)
-                           : selectForLateFlow(mCandidates);
+    const auto* chosen =
+      age < aRoute.latencyObjective
+        ? selectOnTimeTarget(mCandidates, aRoute, aHash, aForecast)
+        : selectForLateFlow(mCandidates, aForecast);
     if (chosen == nullptr) {
       return;
     }
@@ -290,23 +295,6 @@
     });
   }
 
-  /** A target that can respond on time; null if there is none. */
-  const Candidate* selectForOnTimeFlow(const Route& aRoute, std::uint64_t aHash)
-  {
-    mShortlist = shortlist(mCandidates, aHash);
-    const auto* chosen = selectTarget(mShortlist, aRoute.flowType, aHash);
-    if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(mShortlist, FlowType::OneRequest, aHash);
-    }
-    if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(mCandidates, FlowType::OneRequest, aHash);
-    }
-    const bool isOnTime =
-      chosen != nullptr &&
-      expectedQueueTime(*chosen) <= maxQueueTime(aRoute.latencyObjective);
-    return isOnTime ? chosen : nullptr;
-  }
-
   void collectCandidates(const Service& aService,
                          const CachedFlow& aCachedFlow,
                          Core::TimePoint aNow)
@@ -385,8 +373,8 @@
   SteererContext<Format, Output>& mContext;
   PendingFlows mPendingFlows;
   std::vector<Candidate> mCandidates;
-  /** The candidates at which other balancers find the flow's owner quickly. */
-  std::vector<Candidate> mShortlist;
+  /** By service tag. */
+  absl::flat_hash_map<std::uint32_t, LoadForecast> mForecasts;
   Core::TimePoint mLastRetryAt{};
 };
 
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-/**
- * Weight of the newest request in the smoothed service time: the average covers
- * about ten requests.
- */
-constexpr double kSmoothingFactor = 0.1;
-
 bool
 isSequenceAfter(std::uint32_t aLeft, std::uint32_t aRight)
 {
@@ -94,12 +88,19 @@
   if (aFlow.request != RequestState::Delivered) {
     return;
   }
-  const auto elapsed =
-    std::chrono::duration<double, std::milli>(aNow - aFlow.deliveredAt);
-  mServiceTime += kSmoothingFactor * (elapsed - mServiceTime);
+  mServiceTime.record(aFlow.requestClass, aNow - aFlow.deliveredAt);
+  mReturnedOpenFlows = 0;
   setRequest(aFlow, RequestState::None);
 }
 
+void
+TargetFlowTable::recordReturned(const TargetFlow& aFlow)
+{
+  if (aFlow.isOpen() && ++mReturnedOpenFlows == kRestartThreshold) {
+    mServiceTime.reset();
+  }
+}
+
 void
 TargetFlowTable::setRequest(TargetFlow& aFlow, RequestState aState)
 {
@@ -176,7 +177,7 @@
 std::chrono::milliseconds
 TargetFlowTable::serviceTime() const
 {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(mServiceTime);
+  return std::chrono::round<std::chrono::milliseconds>(mServiceTime.mean());
 }
 
 } // namespace Steering
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/servicetimeestimator.h"
+
 #include "core/clock.h"
 #include "packet/flowkey.h"
 
@@ -35,6 +37,8 @@
   /** Start of the caller's waiting time for the flow, as far as known. */
   Core::TimePoint waitingSince{};
   std::uint32_t lastCallerSequence = 0;
+  /** Class of the newest request. */
+  RequestClass requestClass = 0;
   RequestState request = RequestState::None;
   bool isLongLived = false;
   /** The backend server has sent a packet of the flow. */
@@ -75,8 +79,11 @@
    */
   static constexpr std::chrono::seconds kEndedFlowRetention{ 4 };
   static constexpr std::chrono::seconds kSweepInterval{ 1 };
-  /** Estimate until the first requests are measured. */
-  static constexpr std::chrono::milliseconds kInitialServiceTime{ 50 };
+  /**
+   * Open flows that the backend server returns in succession, without an answer
+   * between them, when it has been restarted.
+   */
+  static constexpr int kRestartThreshold = 2;
 
   TargetFlow* find(const Packet::FlowKey& aFlow);
   /** Returns the flow, which is added if new, with lastPacketAt set to aNow. */
@@ -95,6 +102,11 @@
   void markQueued(TargetFlow& aFlow);
   void markDelivered(TargetFlow& aFlow, Core::TimePoint aNow);
   void recordAnswer(TargetFlow& aFlow, Core::TimePoint aNow);
+  /**
+   * Records that the backend server returned a packet of the flow. A backend
+   * server that returns open flows was restarted; its speed is learned anew.
+   */
+  void recordReturned(const TargetFlow& aFlow);
   /** Marks the flow as closed or reset, and releases its slot. */
   void markEnded(TargetFlow& aFlow);
   void erase(const Packet::FlowKey& aFlow);
@@ -109,7 +121,13 @@
   /** Requests that the backend server has or is expected to get shortly. */
   std::uint32_t inProgress() const { return mDelivered + mExpected; }
   std::uint32_t longLivedFlows() const { return mLongLivedFlows; }
+  /** Mean time to answer a request, or an initial value. */
   std::chrono::milliseconds serviceTime() const;
+  /** Mean time to answer a request for load reports; 0 if it is not known. */
+  std::chrono::milliseconds reportedServiceTime() const
+  {
+    return mServiceTime.reportedMean();
+  }
   std::size_t size() const { return mFlows.size(); }
 
 private:
@@ -129,8 +147,9 @@
   std::uint32_t mExpected = 0;
   std::uint32_t mDelivered = 0;
   std::uint32_t mLongLivedFlows = 0;
-  /** Smoothed time from delivery to answer. */
-  std::chrono::duration<double, std::milli> mServiceTime{ kInitialServiceTime };
+  ServiceTimeEstimator mServiceTime;
+  /** Open flows that were returned since the last answer. */
+  int mReturnedOpenFlows = 0;
   Core::TimePoint mLastSweepAt{};
 };
 
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -2,9 +2,15 @@
 
 #include "steering/queuetime.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace Steering {
 
@@ -18,57 +24,78 @@
  */
 constexpr double kLongLivedFlowZoneMargin = 0.10;
 /**
- * A flow with one request goes to another zone if that saves this many requests
- * per slot. A round trip between zones takes about ten milliseconds, a sixth of
- * a typical request.
+ * A flow with one request goes to another zone if that saves this fraction of
+ * the time to answer a request. A round trip between zones takes about ten
+ * milliseconds, a sixth of a typical request.
  */
 constexpr double kOneRequestZoneMargin = 0.25;
-/** Requests take this many times longer during the slow start. */
-constexpr double kSlowStartFactor = 1.6;
+/**
+ * Expected times that differ by less than this fraction of the service time
+ * count as equal, so that balancers with the same reports choose differently.
+ */
+constexpr double kEqualTimes = 0.1;
+/** Candidates of a typical service that need no memory from the heap. */
+constexpr std::size_t kInlinedCandidates = 64;
+
+using Milliseconds = ExpectedLoad::Milliseconds;
 
 double
-effectiveSlots(const Candidate& aCandidate)
+slotsOf(const Candidate& aCandidate)
 {
-  const auto slots =
-    static_cast<double>(std::max<std::uint32_t>(aCandidate.target->slots, 1));
-  return aCandidate.isSlowStartOver ? slots : slots / kSlowStartFactor;
+  return std::max<std::uint32_t>(aCandidate.target->slots, 1);
 }
 
-double
-requestsPerSlot(const Candidate& aCandidate)
+/**
+ * The expected time to the answer of a new request. Each request in progress
+ * counts as a wait, also while slots are free: by the time the new one arrives,
+ * other balancers may have used them.
+ */
+Milliseconds
+timeToAnswer(const ExpectedLoad& aLoad, double aSlots)
 {
-  return (aCandidate.load->inProgress() + 1) / effectiveSlots(aCandidate);
+  return aLoad.serviceTime * (1 + (aLoad.requests + 1) / aSlots);
 }
 
+/** A number in [0, 1) that differs between flows and targets. */
 double
-flowsPerSlot(const Candidate& aCandidate)
+uniformNumber(const Candidate& aCandidate, std::uint64_t aFlowHash)
 {
-  return (aCandidate.load->longLivedFlows() + 1) / effectiveSlots(aCandidate);
+  constexpr unsigned kUnusedBits = 11;
+  constexpr double kScale = 0x1p-53;
+  return static_cast<double>(rendezvousWeight(*aCandidate.target, aFlowHash) >>
+                             kUnusedBits) *
+         kScale;
 }
 
+/** The candidate with the least cost, and its cost. */
+struct Cheapest
+{
+  const Candidate* candidate = nullptr;
+  double cost = 0;
+  double rankedCost = 0;
+};
+
 /**
  * The candidate with the least cost, either of the local zone or of the other
- * zones.
+ * zones. aCost returns the cost and the difference that counts as equal.
  */
 template<typename Cost>
-const Candidate*
+Cheapest
 cheapest(absl::Span<const Candidate> aCandidates,
          bool aIsLocalZone,
          Cost aCost,
          std::uint64_t aFlowHash)
 {
-  const Candidate* best = nullptr;
+  Cheapest best;
   for (const auto& candidate : aCandidates) {
     if (candidate.isLocalZone != aIsLocalZone) {
       continue;
     }
-    const bool isCheaper = best == nullptr || aCost(candidate) < aCost(*best);
-    const bool isEqual = best != nullptr && aCost(candidate) == aCost(*best);
-    const bool winsTie =
-      isEqual && rendezvousWeight(*candidate.target, aFlowHash) >
-                   rendezvousWeight(*best->target, aFlowHash);
-    if (isCheaper || winsTie) {
-      best = &candidate;
+    const auto [cost, tolerance] = aCost(candidate);
+    const auto rankedCost =
+      cost + tolerance * uniformNumber(candidate, aFlowHash);
+    if (best.candidate == nullptr || rankedCost < best.rankedCost) {
+      best = { &candidate, cost, rankedCost };
     }
   }
   return best;
@@ -97,12 +124,55 @@
              Cost aCost,
              IsWorthLeavingZone aIsWorthLeavingZone)
 {
-  const auto* local = cheapest(aCandidates, true, aCost, aFlowHash);
-  const auto* remote = cheapest(aCandidates, false, aCost, aFlowHash);
-  if (local == nullptr || remote == nullptr) {
-    return local != nullptr ? local : remote;
+  const auto local = cheapest(aCandidates, true, aCost, aFlowHash);
+  const auto remote = cheapest(aCandidates, false, aCost, aFlowHash);
+  if (local.candidate == nullptr || remote.candidate == nullptr) {
+    return local.candidate != nullptr ? local.candidate : remote.candidate;
   }
-  return aIsWorthLeavingZone(aCost(*local), aCost(*remote)) ? remote : local;
+  return aIsWorthLeavingZone(local, remote) ? remote.candidate
+                                            : local.candidate;
+}
+
+const Candidate*
+selectByFlows(absl::Span<const Candidate> aCandidates,
+              std::uint64_t aFlowHash,
+              const LoadForecast& aForecast)
+{
+  // Equal counts are common, so the tolerance decides between these only.
+  constexpr double kTieTolerance = 1e-9;
+  const auto cost = [&](const Candidate& aCandidate) {
+    const auto flows =
+      (aCandidate.load->longLivedFlows() + 1) / slotsOf(aCandidate);
+    return std::make_pair(flows * aForecast.serviceTime(aCandidate).count(),
+                          kTieTolerance);
+  };
+  return selectByCost(aCandidates,
+                      aFlowHash,
+                      cost,
+                      [](const Cheapest& aLocal, const Cheapest& aRemote) {
+                        return aLocal.cost >
+                               aRemote.cost * (1 + kLongLivedFlowZoneMargin);
+                      });
+}
+
+const Candidate*
+selectByTime(absl::Span<const Candidate> aCandidates,
+             std::uint64_t aFlowHash,
+             const LoadForecast& aForecast)
+{
+  const auto cost = [&](const Candidate& aCandidate) {
+    const auto load = aForecast.expectedLoad(aCandidate);
+    return std::make_pair(timeToAnswer(load, slotsOf(aCandidate)).count(),
+                          load.serviceTime.count() * kEqualTimes);
+  };
+  return selectByCost(
+    aCandidates,
+    aFlowHash,
+    cost,
+    [&](const Cheapest& aLocal, const Cheapest& aRemote) {
+      const auto time = aForecast.serviceTime(*aRemote.candidate);
+      return aLocal.cost - aRemote.cost > time.count() * kOneRequestZoneMargin;
+    });
 }
 
 } // namespace
@@ -110,62 +180,100 @@
 const Candidate*
 selectTarget(absl::Span<const Candidate> aCandidates,
              FlowType aFlowType,
-             std::uint64_t aFlowHash)
+             std::uint64_t aFlowHash,
+             const LoadForecast& aForecast)
+{
+  return aFlowType == FlowType::ManyRequests
+           ? selectByFlows(aCandidates, aFlowHash, aForecast)
+           : selectByTime(aCandidates, aFlowHash, aForecast);
+}
+
+const Candidate*
+selectOnTimeTarget(absl::Span<const Candidate> aCandidates,
+                   const Route& aRoute,
+                   std::uint64_t aFlowHash,
+                   const LoadForecast& aForecast)
 {
-  if (aFlowType == FlowType::ManyRequests) {
-    return selectByCost(
-      aCandidates, aFlowHash, flowsPerSlot, [](double aLocal, double aRemote) {
-        return aLocal > aRemote * (1 + kLongLivedFlowZoneMargin);
-      });
+  const auto hasQueue = [&](const Candidate* aCandidate) {
+    return aCandidate != nullptr &&
+           expectedQueueTime(*aCandidate, aForecast).count() > 0;
+  };
+  const auto shortlisted = shortlist(aCandidates, aFlowHash);
+  const auto* best =
+    selectTarget(shortlisted, aRoute.flowType, aFlowHash, aForecast);
+  if (aRoute.flowType == FlowType::ManyRequests && hasQueue(best)) {
+    best =
+      selectTarget(shortlisted, FlowType::OneRequest, aFlowHash, aForecast);
   }
-  return selectByCost(
-    aCandidates, aFlowHash, requestsPerSlot, [](double aLocal, double aRemote) {
-      return aLocal > aRemote + kOneRequestZoneMargin;
+  if (hasQueue(best)) {
+    best =
+      selectTarget(aCandidates, FlowType::OneRequest, aFlowHash, aForecast);
+  }
+  const bool isOnTime =
+    best != nullptr && expectedQueueTime(*best, aForecast) <=
+                         maxQueueTime(aRoute.latencyObjective);
+  if (!isOnTime) {
+    return nullptr;
+  }
+  const auto it = std::find_if(
+    aCandidates.begin(), aCandidates.end(), [best](const Candidate& aOther) {
+      return aOther.target == best->target;
     });
+  return &*it;
 }
 
 std::vector<Candidate>
 shortlist(absl::Span<const Candidate> aCandidates, std::uint64_t aFlowHash)
 {
-  std::vector<Candidate> sorted(aCandidates.begin(), aCandidates.end());
-  std::sort(sorted.begin(),
-            sorted.end(),
-            [aFlowHash](const Candidate& aLeft, const Candidate& aRight) {
-              return rendezvousWeight(*aLeft.target, aFlowHash) >
-                     rendezvousWeight(*aRight.target, aFlowHash);
-            });
-  std::size_t local = 0;
-  std::size_t remote = 0;
-  std::erase_if(sorted, [&local, &remote](const Candidate& aCandidate) {
-    auto& count = aCandidate.isLocalZone ? local : remote;
-    return count++ >= kShortlistSize;
-  });
-  return sorted;
+  using Weighted = std::pair<std::uint64_t, const Candidate*>;
+  std::array<absl::InlinedVector<Weighted, kInlinedCandidates>, 2> zones;
+  for (const auto& candidate : aCandidates) {
+    zones.at(candidate.isLocalZone ? 0 : 1)
+      .emplace_back(rendezvousWeight(*candidate.target, aFlowHash), &candidate);
+  }
+  std::vector<Candidate> selected;
+  selected.reserve(2 * kShortlistSize);
+  for (auto& zone : zones) {
+    const auto count = std::min(zone.size(), kShortlistSize);
+    std::partial_sort(zone.begin(),
+                      zone.begin() + static_cast<std::ptrdiff_t>(count),
+                      zone.end(),
+                      std::greater<>());
+    for (std::size_t i = 0; i < count; ++i) {
+      selected.push_back(*zone[i].second);
+    }
+  }
+  return selected;
 }
 
 const Candidate*
-selectForLateFlow(absl::Span<const Candidate> aCandidates)
+selectForLateFlow(absl::Span<const Candidate> aCandidates,
+                  const LoadForecast& aForecast)
 {
+  const auto waitingTime = [&aForecast](const Candidate& aCandidate) {
+    return aForecast.serviceTime(aCandidate) *
+           aCandidate.load->totalRequests() / slotsOf(aCandidate);
+  };
   const auto best = std::min_element(
     aCandidates.begin(),
     aCandidates.end(),
-    [](const Candidate& aLeft, const Candidate& aRight) {
-      return aLeft.load->totalRequests() / effectiveSlots(aLeft) <
-             aRight.load->totalRequests() / effectiveSlots(aRight);
+    [&waitingTime](const Candidate& aLeft, const Candidate& aRight) {
+      return waitingTime(aLeft) < waitingTime(aRight);
     });
   return best == aCandidates.end() ? nullptr : &*best;
 }
 
 std::chrono::milliseconds
-expectedQueueTime(const Candidate& aCandidate)
-{
-  const auto& load = *aCandidate.load;
-  const auto queueTime = estimatedQueueTime(
-    load.inProgress(), aCandidate.target->slots, load.reported.serviceTime);
-  return aCandidate.isSlowStartOver
-           ? queueTime
-           : std::chrono::duration_cast<std::chrono::milliseconds>(
-               queueTime * kSlowStartFactor);
+expectedQueueTime(const Candidate& aCandidate, const LoadForecast& aForecast)
+{
+  if (!aForecast.isSpeedKnown(aCandidate)) {
+    return std::chrono::milliseconds(0);
+  }
+  const auto load = aForecast.expectedLoad(aCandidate);
+  return estimatedQueueTime(
+    static_cast<std::uint32_t>(std::lround(std::max(load.requests, 0.0))),
+    aCandidate.target->slots,
+    std::chrono::round<std::chrono::milliseconds>(load.serviceTime));
 }
 
 std::vector<const Target*>
--- a/src/libs/steering/targetselection.h
+++ b/src/libs/steering/targetselection.h
@@ -3,6 +3,7 @@
 #include "steering/agentloadtable.h"
 #include "steering/fleetmap.h"
 #include "steering/flowhash.h"
+#include "steering/loadforecast.h"
 
 #include <absl/strings/string_view.h>
 #include <absl/types/span.h>
@@ -23,16 +24,29 @@
 
 /**
  * Selects the target for a new flow; null if there is no candidate. A flow with
- * one request goes to the target with the fewest requests in progress per slot.
- * A long-lived flow goes to the target with the fewest long-lived flows per
- * slot, since its future requests matter more than the present ones. A target
- * in another zone is selected only if it is better by more than the cost of the
- * network latency between zones. aFlowHash breaks ties.
+ * one request goes to the target with the shortest expected time to the answer.
+ * A long-lived flow goes to the target with the least long-lived flows per slot
+ * and speed, since its future requests matter more than the present ones. A
+ * target in another zone is selected only if it is better by more than the cost
+ * of the network latency between zones. aFlowHash decides between targets that
+ * are nearly equal.
  */
 const Candidate*
 selectTarget(absl::Span<const Candidate> aCandidates,
              FlowType aFlowType,
-             std::uint64_t aFlowHash);
+             std::uint64_t aFlowHash,
+             const LoadForecast& aForecast = {});
+
+/**
+ * Selects the target for a new flow that is on time: one of the shortlist, or
+ * of all candidates if none of the shortlist has a free slot. Null if no
+ * candidate is expected to answer on time.
+ */
+const Candidate*
+selectOnTimeTarget(absl::Span<const Candidate> aCandidates,
+                   const Route& aRoute,
+                   std::uint64_t aFlowHash,
+                   const LoadForecast& aForecast);
 
 /**
  * Returns the candidates that a new flow should go to while they have capacity,
@@ -53,18 +67,17 @@
 
 /**
  * Selects the target for a new flow that is already late, which happens under
- * overload: the one with the fewest requests per slot, late ones included. Null
- * if there is no candidate.
+ * overload: the one with the shortest queue in time, late requests included.
+ * Null if there is no candidate.
  */
 const Candidate*
-selectForLateFlow(absl::Span<const Candidate> aCandidates);
+selectForLateFlow(absl::Span<const Candidate> aCandidates,
+                  const LoadForecast& aForecast = {});
 
-/**
- * Estimates the time that a new request would wait for a slot, from the
- * target's last load report and the new flows that it does not include.
- */
+/** Estimates the time that a new request would wait for a slot. */
 std::chrono::milliseconds
-expectedQueueTime(const Candidate& aCandidate);
+expectedQueueTime(const Candidate& aCandidate,
+                  const LoadForecast& aForecast = {});
 
 /**
  * All targets of the route's services in the order in which a flow's owner is
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -682,3 +682,22 @@
   f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
   CHECK(f.output.toBalancers.back().message.kind == MessageKind::OwnerNotice);
 }
+
+// Guards against the speed of a previous incarnation of the backend server.
+TEST_CASE("the service time is learned anew when open flows are returned")
+{
+  Fixture f;
+  for (std::uint16_t i = 1; i <= 10; ++i) {
+    f.startRequest(i);
+    f.now += 20ms;
+    f.sendAnswer(i);
+  }
+  f.forward(Fixture::synPacket(20));
+  f.sendSynAck(20);
+  CHECK(f.output.toBalancers.back().message.load.serviceTime == 20ms);
+  for (std::uint16_t i = 1; i <= 2; ++i) {
+    f.forward(Fixture::dataPacket(i, 10));
+    f.returnLastPacket();
+  }
+  CHECK(f.output.toBalancers.back().message.load.serviceTime == 0ms);
+}
