--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -291,6 +291,7 @@
     if (!isKnownFlow) {
       takeSlowStartPlace(flow, aNow);
     }
+    flow.requestClass = requestClassOf(aMessage);
     mFlows.setLongLived(flow, aMessage.isLongLived);
     if (waitingRequest(aMessage, aNow - aMessage.age).isOnTime(aNow)) {
       mFlows.expectRequest(key, flow, aNow);
@@ -303,6 +304,15 @@
     deliver(aFrom, aPacket);
   }
 
+  static RequestClass requestClassOf(const AgentMessage& aMessage)
+  {
+    constexpr unsigned kObjectiveBits = 16;
+    return (RequestClass{ aMessage.priority } << kObjectiveBits) |
+           toUint16(static_cast<std::uint32_t>(
+             std::max<std::chrono::milliseconds::rep>(
+               aMessage.latencyObjective.count(), 0)));
+  }
+
   /** A SYN from the port of an ended flow opens a new one. */
   void forgetEndedFlow(const Packet::FlowKey& aKey)
   {
@@ -530,6 +540,7 @@
     const auto key = aPacket.flowFromCaller();
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
+    flow.requestClass = requestClassOf(aMessage);
     if (aMessage.wantsOwnerNotice && flow.isConfirmed) {
       sendOwnerNotice(flow.balancer, key, 0, aNow);
     } else {
@@ -778,6 +789,9 @@
     // A late copy of a SYN says nothing about the open flow.
     const bool isLateSyn =
       aPacket.isSyn() && knownFlow != nullptr && knownFlow->isOpen();
+    if (knownFlow != nullptr && !aPacket.isSyn()) {
+      mFlows.recordReturned(*knownFlow);
+    }
     if (!isLateSyn) {
       mQueue.erase(flow);
       mFlows.erase(flow);
@@ -861,7 +875,7 @@
     load.lateRequests =
       toUint16(static_cast<std::uint32_t>(mQueue.size()) - onTime);
     load.longLivedFlows = toUint16(mFlows.longLivedFlows());
-    load.serviceTime = mFlows.serviceTime();
+    load.serviceTime = mFlows.reportedServiceTime();
     load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
     load.isUnavailable = mIsDraining || mEvacuation.isEvacuated() ||
                          mUnansweredSyns >= kUnresponsiveThreshold;
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/loadforecast.h"
 #include "steering/pendingflows.h"
 #include "steering/queuedflows.h"
 #include "steering/queuetime.h"
@@ -472,6 +473,8 @@
     }
     auto& cachedFlow = mContext.flowCache.findOrInsert(flow, aNow);
     collectCandidates(service, cachedFlow, aNow);
+    auto& forecast = mForecasts[service.tag];
+    forecast.update(mCandidates, aNow);
     if (mCandidates.empty() && mLimitedCandidates.empty()) {
       const bool isRejected = isRejectedByAll(service, cachedFlow, aNow);
       const bool isServiceEvacuated = isEvacuated(service, aNow);
@@ -502,7 +505,8 @@
       return Placement::Removed;
     }
     if (cachedFlow.fullRejections < kMaxFullRejections) {
-      sendToTarget(aPending, service, *route, limits, cachedFlow, aNow);
+      sendToTarget(
+        aPending, service, *route, limits, cachedFlow, forecast, aNow);
     }
     cachedFlow.fullRejections =
       aPending.isQueued() ? 0 : cachedFlow.fullRejections;
@@ -514,6 +518,7 @@
                     const Route& aRoute,
                     const QueuedFlowLimits& aLimits,
                     CachedFlow& aCachedFlow,
+                    const LoadForecast& aForecast,
                     Core::TimePoint aNow)
   {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -522,7 +527,8 @@
       select(aService,
              aRoute,
              flowHash(aPending.flow),
-             age + aLimits.serviceTime < aRoute.latencyObjective);
+             age + aLimits.serviceTime < aRoute.latencyObjective,
+             aForecast);
     if (chosen == nullptr) {
       return;
     }
@@ -587,12 +593,17 @@
   const Candidate* select(const Service& aService,
                           const Route& aRoute,
                           std::uint64_t aHash,
-                          bool aIsOnTime)
+                          bool aIsOnTime,
+                          const LoadForecast& aForecast)
   {
     const auto selectFrom = [&](const std::vector<Candidate>& aCandidates) {
       return aIsOnTime
-               ? selectForOnTimeFlow(aCandidates, aService, aRoute, aHash)
-               : selectForLateFlow(aCandidates);
+               ? selectOnTimeTarget(aCandidates,
+                                    aRoute,
+                                    aHash,
+                                    aForecast,
+                                    maxReportedQueueTime(aService, aRoute))
+               : selectForLateFlow(aCandidates, aForecast);
     };
     if (mLimitedCandidates.empty() || hasFreeTarget(mCandidates)) {
       return selectFrom(mCandidates);
@@ -605,27 +616,6 @@
     return chosen != nullptr ? chosen : selectFrom(mLimitedCandidates);
   }
 
-  /** A target that can respond on time; null if there is none. */
-  const Candidate* selectForOnTimeFlow(
-    const std::vector<Candidate>& aCandidates,
-    const Service& aService,
-    const Route& aRoute,
-    std::uint64_t aHash)
-  {
-    mShortlist = shortlist(aCandidates, aHash);
-    const auto* chosen = selectTarget(mShortlist, aRoute.flowType, aHash);
-    if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(mShortlist, FlowType::OneRequest, aHash);
-    }
-    if (chosen != nullptr && expectedQueueTime(*chosen).count() > 0) {
-      chosen = selectTarget(aCandidates, FlowType::OneRequest, aHash);
-    }
-    const bool isOnTime =
-      chosen != nullptr &&
-      expectedQueueTime(*chosen) <= maxReportedQueueTime(aService, aRoute);
-    return isOnTime ? chosen : nullptr;
-  }
-
   /**
    * Maximum queue time that a target may report to get a flow on time. Less
    * urgent requests may be up to half of a longer queue, and the flow is served
@@ -767,8 +757,8 @@
   std::vector<Candidate> mCandidates;
   /** Cold targets with a limit that have budget left. */
   std::vector<Candidate> mLimitedCandidates;
-  /** The candidates at which other balancers find the flow's owner quickly. */
-  std::vector<Candidate> mShortlist;
+  /** By service tag. */
+  absl::flat_hash_map<std::uint32_t, LoadForecast> mForecasts;
   Core::TimePoint mLastRetryAt{};
 };
 
