Tests: Keep a balancer's map old for longer than the evacuation bound

Cause: the random schedules pause the map updates of a balancer for at most 4 s, below the bound of 5 s.

--- a/tests/flowsimulation/flowschedule.cpp
+++ b/tests/flowsimulation/flowschedule.cpp
@@ -177,7 +177,7 @@
         crash();
         break;
       case 7:
-        pauseMapUpdates();
+        pauseMapUpdates(200ms, 4'000ms);
         break;
       case 8:
         recordAction("promote a configuration");
@@ -277,15 +277,20 @@
     const bool isEvacuated = !mSimulation.isEvacuated(zone);
     recordAction(
       absl::StrCat(isEvacuated ? "evacuate" : "take back", " zone ", zone));
+    if (isEvacuated && chance(0.5)) {
+      // Outlasts the bound, so that the agents have to reject new flows.
+      pauseMapUpdates(6'000ms, 10'000ms);
+    }
     mSimulation.setEvacuated(zone, isEvacuated);
   }
 
-  void pauseMapUpdates()
+  void pauseMapUpdates(std::chrono::milliseconds aMinTime,
+                       std::chrono::milliseconds aMaxTime)
   {
     const auto name = pickName(mSimulation.balancerNames());
     recordAction("pause map updates of " + name);
     mSimulation.pauseMapUpdates(name);
-    scheduleRecovery(randomDuration(200ms, 4'000ms),
+    scheduleRecovery(randomDuration(aMinTime, aMaxTime),
                      [this, name] { mSimulation.resumeMapUpdates(name); });
   }
 
