Steering: Learn flow reuse, and admit on-time flows while late ones queue

Change: agents learn whether long-lived flows get a second request, and report only reused ones if they do not; balancers place by the expected time while few flows are reported. Agents with late requests in the queue admit flows as long as an answer on time is likely. Each message counts as a report.

Test changed: 'load reports are sent on change' expected a report of a load that the owner notice had just reported. It now expects none, and a report when the load goes back to that of the last report.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -498,9 +498,26 @@
                        mQueue.countAhead(request, aNow);
     const auto queueTime =
       estimatedQueueTime(ahead, mSlots, mFlows.serviceTime());
-    return request.isOnTime(aNow)
-             ? queueTime <= maxQueueTime(aMessage.latencyObjective)
-             : request.isAnswerable(aNow + queueTime);
+    return request.isOnTime(aNow) ? queueTime <= maxQueueTimeOf(aMessage, aNow)
+                                  : request.isAnswerable(aNow + queueTime);
+  }
+
+  /**
+   * Maximum queue time of a request that is on time. While late requests are
+   * queued, a rejected one would leave them the next free slot, so requests are
+   * admitted as long as an answer on time is likely: within the rest of the
+   * objective less twice the service time.
+   */
+  std::chrono::milliseconds maxQueueTimeOf(const AgentMessage& aMessage,
+                                           Core::TimePoint aNow) const
+  {
+    const auto limit = maxQueueTime(aMessage.latencyObjective);
+    if (mQueue.onTimeCount(aNow) == mQueue.size()) {
+      return limit;
+    }
+    return std::max(limit,
+                    aMessage.latencyObjective - aMessage.age -
+                      2 * mFlows.serviceTime());
   }
 
   void rememberExpected(const Packet::FlowKey& aFlow, std::uint8_t aPriority)
--- a/src/libs/steering/balancerlinks.h
+++ b/src/libs/steering/balancerlinks.h
@@ -222,8 +222,11 @@
     message.kind = aKind;
     message.reason = aReason;
     message.mapRevision = mNewestMapRevision;
-    message.sendTime = mBalancers[tokenOf(aTo) - 1].lastSendTime;
+    auto& balancer = mBalancers[tokenOf(aTo) - 1];
+    message.sendTime = balancer.lastSendTime;
     message.load = aLoad;
+    // Each message reports the load, so a change back is a change to report.
+    balancer.lastReport = aLoad;
     mBuffer.clear();
     message.appendTo(mBuffer);
   }
@@ -232,7 +235,6 @@
   {
     beginMessage(
       aTo.endpoint, MessageKind::LoadReport, RejectReason::None, aLoad);
-    aTo.lastReport = aLoad;
     mOutput.sendToBalancer(aTo.endpoint, mBuffer);
     mCounters.increment(SteeringCounter::LoadReports);
   }
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -619,13 +619,21 @@
   /**
    * Maximum queue time that a target may report to get a flow on time. Less
    * urgent requests may be up to half of a longer queue, and the flow is served
-   * before them. The agent knows, and rejects the flow if it would wait.
+   * before them. While late requests are queued, agents admit more of those on
+   * time. The agent knows, and rejects the flow if it would wait.
    */
-  static std::chrono::milliseconds maxReportedQueueTime(const Service& aService,
-                                                        const Route& aRoute)
+  std::chrono::milliseconds maxReportedQueueTime(const Service& aService,
+                                                 const Route& aRoute) const
   {
     const auto limit = maxQueueTime(aRoute.latencyObjective);
-    return aRoute.priority < aService.leastUrgent ? 2 * limit : limit;
+    const bool hasLateRequests = std::any_of(
+      mCandidates.begin(), mCandidates.end(), [](const Candidate& aCandidate) {
+        return aCandidate.load->reported.lateRequests > 0;
+      });
+    if (aRoute.priority < aService.leastUrgent) {
+      return 2 * limit;
+    }
+    return hasLateRequests ? aRoute.latencyObjective / 2 : limit;
   }
 
   /**
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -79,6 +79,18 @@
   if (!aFlow.isEnded && aFlow.request != RequestState::Delivered) {
     setRequest(aFlow, RequestState::Delivered);
     aFlow.deliveredAt = aNow;
+    recordReuse(aFlow);
+  }
+}
+
+void
+TargetFlowTable::recordReuse(TargetFlow& aFlow)
+{
+  const bool isSecondRequest = std::exchange(aFlow.hasRequest, true);
+  if (isSecondRequest && aFlow.isLongLived &&
+      !std::exchange(aFlow.isReused, true)) {
+    ++mReusedFlows;
+    mFlowReuse.recordSecondRequest();
   }
 }
 
@@ -115,7 +127,12 @@
 TargetFlowTable::markEnded(TargetFlow& aFlow)
 {
   setRequest(aFlow, RequestState::None);
+  if (aFlow.isLongLived && aFlow.hasRequest && !aFlow.isReused) {
+    mFlowReuse.recordSingleRequest();
+  }
+  mReusedFlows -= std::exchange(aFlow.isReused, false) ? 1 : 0;
   mLongLivedFlows -= std::exchange(aFlow.isLongLived, false) ? 1 : 0;
+  aFlow.hasRequest = false;
   aFlow.isEnded = true;
 }
 
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/flowreuse.h"
 #include "steering/servicetimeestimator.h"
 
 #include "core/clock.h"
@@ -46,6 +47,10 @@
   RequestClass requestClass = 0;
   RequestState request = RequestState::None;
   bool isLongLived = false;
+  /** The backend server got a request. */
+  bool hasRequest = false;
+  /** The backend server got a second request of a long-lived flow. */
+  bool isReused = false;
   /** The backend server has sent a packet of the flow. */
   bool isConfirmed = false;
   bool hasCallerData = false;
@@ -125,7 +130,14 @@
   std::uint32_t delivered() const { return mDelivered; }
   /** Requests that the backend server has or is expected to get shortly. */
   std::uint32_t inProgress() const { return mDelivered + mExpected; }
-  std::uint32_t longLivedFlows() const { return mLongLivedFlows; }
+  /**
+   * Open flows that are expected to carry further requests: those marked as
+   * long-lived, or, if callers do not reuse such flows, those that were reused.
+   */
+  std::uint32_t longLivedFlows() const
+  {
+    return mFlowReuse.areFlowsReused() ? mLongLivedFlows : mReusedFlows;
+  }
   /** Mean time to answer a request, or an initial value. */
   std::chrono::milliseconds serviceTime() const;
   /** Mean time to answer a request for load reports; 0 if it is not known. */
@@ -144,6 +156,7 @@
 
   void releaseUnusedSlots(Core::TimePoint aNow);
   void sweep(Core::TimePoint aNow);
+  void recordReuse(TargetFlow& aFlow);
   void setRequest(TargetFlow& aFlow, RequestState aState);
 
   absl::flat_hash_map<Packet::FlowKey, TargetFlow> mFlows;
@@ -152,6 +165,9 @@
   std::uint32_t mExpected = 0;
   std::uint32_t mDelivered = 0;
   std::uint32_t mLongLivedFlows = 0;
+  /** The long-lived flows that got a second request. */
+  std::uint32_t mReusedFlows = 0;
+  FlowReuse mFlowReuse;
   ServiceTimeEstimator mServiceTime;
   /** Open flows that were returned since the last answer. */
   int mReturnedOpenFlows = 0;
--- a/src/libs/steering/targetselection.cpp
+++ b/src/libs/steering/targetselection.cpp
@@ -196,6 +196,24 @@
   return aCandidate.slowStartBudget.value_or(0) / -std::log(fraction);
 }
 
+/**
+ * Whether the agents report enough long-lived flows to distribute new ones by
+ * their number: a quarter of the slots. Agents count them only if callers reuse
+ * flows.
+ */
+bool
+areFlowsReused(absl::Span<const Candidate> aCandidates)
+{
+  constexpr double kMinFlowsPerSlot = 0.25;
+  double flows = 0;
+  double slots = 0;
+  for (const auto& candidate : aCandidates) {
+    flows += candidate.load->reported.longLivedFlows;
+    slots += slotsOf(candidate);
+  }
+  return flows >= kMinFlowsPerSlot * slots;
+}
+
 } // namespace
 
 const Candidate*
@@ -221,9 +239,10 @@
            expectedQueueTime(*aCandidate, aForecast).count() > 0;
   };
   const auto shortlisted = shortlist(aCandidates, aFlowHash);
-  const auto* best =
-    selectTarget(shortlisted, aRoute.flowType, aFlowHash, aForecast);
-  if (aRoute.flowType == FlowType::ManyRequests && hasQueue(best)) {
+  const auto flowType =
+    areFlowsReused(aCandidates) ? aRoute.flowType : FlowType::OneRequest;
+  const auto* best = selectTarget(shortlisted, flowType, aFlowHash, aForecast);
+  if (flowType == FlowType::ManyRequests && hasQueue(best)) {
     best =
       selectTarget(shortlisted, FlowType::OneRequest, aFlowHash, aForecast);
   }
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -739,9 +739,16 @@
   Fixture f;
   f.startRequest(1);
   const auto sentBeforeFirstReport = f.output.toBalancers.size();
+  // The owner notice has reported this load.
+  f.controller.tick(f.now);
+  CHECK(f.output.toBalancers.size() == sentBeforeFirstReport);
+  f.sendAnswer(1);
   f.controller.tick(f.now);
   CHECK(f.output.toBalancers.size() == sentBeforeFirstReport + 1);
+  // The load returns to that of the last report, but the owner notice has
+  // reported another one.
   f.startRequest(2);
+  f.sendAnswer(2);
   const auto sentBeforeSecondReport = f.output.toBalancers.size();
   f.controller.tick(f.now + 50ms);
   CHECK(f.output.toBalancers.size() == sentBeforeSecondReport);
@@ -751,6 +758,71 @@
   CHECK(f.output.toBalancers.size() == sentBeforeSecondReport + 1);
 }
 
+// Guards against balancers that count the flows of single requests as future
+// load, and select a busy target with few of them.
+TEST_CASE("flows are not reported as long-lived if callers do not reuse them")
+{
+  Fixture f;
+  f.isLongLived = true;
+  const auto reportedFlows = [&f] {
+    AgentMessage probe;
+    probe.kind = MessageKind::Probe;
+    Bytes bytes;
+    probe.appendTo(bytes);
+    f.controller.handleBalancerMessage(kBalancer, bytes, f.now);
+    return f.output.toBalancers.back().message.load.longLivedFlows;
+  };
+  f.startRequest(1);
+  CHECK(reportedFlows() == 1);
+  for (std::uint16_t caller = 2; caller <= 22; ++caller) {
+    f.startRequest(caller);
+    f.sendAnswer(caller, true);
+  }
+  CHECK(reportedFlows() == 0);
+  f.sendAnswer(1);
+  f.forward(Fixture::dataPacket(1, 10));
+  CHECK(reportedFlows() == 1);
+  SUBCASE("a flow that has ended no longer counts")
+  {
+    f.sendAnswer(1, true);
+    CHECK(reportedFlows() == 0);
+  }
+  SUBCASE("all flows count again once callers reuse them")
+  {
+    for (std::uint16_t caller = 30; caller <= 40; ++caller) {
+      f.startRequest(caller);
+      f.sendAnswer(caller);
+      f.forward(Fixture::dataPacket(caller, 10));
+      f.sendAnswer(caller);
+    }
+    f.startRequest(41);
+    CHECK(reportedFlows() == 13);
+  }
+}
+
+// Guards against late requests that get each free slot because those on time
+// are rejected and wait at balancers.
+TEST_CASE("while late requests are queued, more on-time flows are admitted")
+{
+  Fixture f;
+  f.latencyObjective = 250ms;
+  for (std::uint16_t caller = 1; caller <= 5; ++caller) {
+    f.startRequest(caller);
+  }
+  f.forward(Fixture::synPacket(20));
+  REQUIRE(f.rejections().size() == 1);
+  f.forward(Fixture::synPacket(6), kBalancer, 300ms);
+  f.sendSynAck(6);
+  f.forward(Fixture::dataPacket(6, 1));
+  f.forward(Fixture::synPacket(21));
+  CHECK(f.rejections().size() == 1);
+  // No answer on time is likely any more.
+  for (std::uint16_t caller = 22; caller <= 40; ++caller) {
+    f.startRequest(caller);
+  }
+  CHECK(f.rejections().size() > 1);
+}
+
 TEST_CASE("a request without an answer releases its slot after the timeout")
 {
   Fixture f;
