--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -23,6 +23,7 @@
 #include <chrono>
 #include <concepts>
 #include <limits>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -922,7 +923,8 @@
   SlowStartLimiter mSlowStart;
   /** Time of the last call. */
   Core::TimePoint mNow;
-  absl::flat_hash_map<Packet::FlowKey, PendingSyn> mPendingSyns;
+  /** Ordered, so that SYNs are rejected in the same order in each run. */
+  std::map<Packet::FlowKey, PendingSyn> mPendingSyns;
   std::vector<ExpectedRequest> mExpectedRequests;
   /** When the callers of requests that are not delivered any more give up. */
   absl::flat_hash_map<Packet::FlowKey, Core::TimePoint> mGivenUpRequests;
--- a/src/libs/steering/agentloadtable.cpp
+++ b/src/libs/steering/agentloadtable.cpp
@@ -157,6 +157,8 @@
       due.push_back(entry.agent);
     }
   }
+  // The order of a hash table differs between runs.
+  std::sort(due.begin(), due.end());
   return due;
 }
 
--- a/src/libs/steering/pendingsearches.cpp
+++ b/src/libs/steering/pendingsearches.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <tuple>
+
 namespace Steering {
 
 PendingSearch*
@@ -54,6 +56,8 @@
       due.push_back(flow);
     }
   }
+  // The order of a hash table differs between runs.
+  std::sort(due.begin(), due.end());
   return due;
 }
 
@@ -73,7 +77,8 @@
   std::sort(searches.begin(),
             searches.end(),
             [](const Entry& aLeft, const Entry& aRight) {
-              return aLeft.second->startedAt < aRight.second->startedAt;
+              return std::tie(aLeft.second->startedAt, aLeft.first) <
+                     std::tie(aRight.second->startedAt, aRight.first);
             });
   std::vector<Packet::FlowKey> flows;
   flows.reserve(searches.size());
