Steering: Learn speeds from all answers, and serve the oldest flow on time

With the samples counted, more flows waited at balancers, where the newest one on time went first; others were overtaken until their SYN expired, although agents were equally busy.

Change: a FIN behind the answer's bytes counts as the answer; the service time starts with a free slot; balancers send the oldest flow on time first if a service time is known; with priorities agents admit a flow while an answer on time is likely; on time means that two mean service times are left. Agents and balancers log their counters by reason each second (event 327, 315).

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "steering/agentmessage.h"
+#include "steering/agentreport.h"
 #include "steering/balancerlinks.h"
 #include "steering/evacuationstate.h"
 #include "steering/fleetmap.h"
@@ -96,6 +97,7 @@
     , mHistograms(aHistograms)
     , mStartedAt(aNow)
     , mSlowStart(aNow)
+    , mReport(mCounters)
     , mNow(aNow)
   {
   }
@@ -200,6 +202,13 @@
       mLinks.notifyNextAwaitingSlot(currentLoad(aNow));
     }
     mLinks.reportLoadChanges(currentLoad(aNow), aNow);
+    mReport.tick({ mFlows.delivered(),
+                   mFlows.inProgress() - mFlows.delivered(),
+                   mQueue.size(),
+                   mSlots,
+                   mFlows.serviceTime() },
+                 mEvents,
+                 aNow);
   }
 
   /**
@@ -328,6 +337,8 @@
   {
     const bool isSlowStart = aReason == RejectReason::SlowStartLimit;
     mCounters.increment(SteeringCounter::SlowStartRejects, isSlowStart ? 1 : 0);
+    mCounters.increment(SteeringCounter::FlowsTurnedAway,
+                        aReason == RejectReason::Full ? 1 : 0);
     mCounters.increment(SteeringCounter::FlowsRejectedEjected,
                         aReason == RejectReason::Ejected ? 1 : 0);
     mCounters.increment(SteeringCounter::OpeningsEvacuated,
@@ -392,6 +403,8 @@
            slowStartBudget(aNow) > 0;
   }
 
+  bool hasPriorities() const { return mMostUrgent < mLeastUrgent; }
+
   /** Classes are told apart once two priorities have been seen. */
   void recordPriority(std::uint8_t aPriority)
   {
@@ -411,7 +424,7 @@
     request.waitingSince = aWaitingSince;
     request.lateAt = aWaitingSince + aMessage.latencyObjective;
     request.expiresAt = aWaitingSince + aMessage.timeout;
-    if (mMostUrgent < mLeastUrgent) {
+    if (hasPriorities()) {
       request.serviceTime = ServiceOrder::expectedServiceTime(
         mFlows.serviceTime(), aMessage.latencyObjective);
     }
@@ -523,12 +536,12 @@
                                            Core::TimePoint aNow) const
   {
     const auto limit = maxQueueTime(aMessage.latencyObjective);
-    if (mQueue.onTimeCount(aNow) == mQueue.size()) {
+    if (mQueue.onTimeCount(aNow) == mQueue.size() && !hasPriorities()) {
       return limit;
     }
     return std::max(limit,
                     aMessage.latencyObjective - aMessage.age -
-                      2 * mFlows.serviceTime());
+                      ServiceOrder::kOnTimeReserve * mFlows.serviceTime());
   }
 
   void rememberExpected(const Packet::FlowKey& aFlow, std::uint8_t aPriority)
@@ -617,7 +630,7 @@
     }
     if (startsRequest) {
       takeSlowStartPlace(aFlow, aNow);
-      mFlows.markDelivered(aFlow, aNow);
+      mFlows.markDelivered(aPacket.flowFromCaller(), aFlow, mSlots, aNow);
     }
     deliver(aFrom, aPacket);
   }
@@ -713,7 +726,7 @@
       const auto request = mQueue.takeNext(aNow);
       auto& flow = mFlows.touch(request->flow, aNow);
       takeSlowStartPlace(flow, aNow);
-      mFlows.markDelivered(flow, aNow);
+      mFlows.markDelivered(request->flow, flow, mSlots, aNow);
       for (const auto& bytes : request->packets) {
         const auto packet = Format::parse(bytes);
         if (packet.ok()) {
@@ -743,7 +756,10 @@
       return;
     }
     flow.isConfirmed = true;
-    if (aPacket.hasPayload()) {
+    const bool isAnswer =
+      aPacket.hasPayload() ||
+      (aPacket.isFin() && !isCloseWithoutAnswer(aPacket, flow));
+    if (isAnswer) {
       flow.answerSequence.reset();
       flow.waitingSince = {};
       flow.slowStartPlaceAt = {};
@@ -995,6 +1011,7 @@
   RequestQueue mQueue;
   SlowStartLimiter mSlowStart;
   OutlierDetector mOutliers;
+  AgentReport mReport;
   /** Time of the last call. */
   Core::TimePoint mNow;
   /** Ordered, so that SYNs are rejected in the same order in each run. */
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -357,7 +357,7 @@
                              const QueuedFlowLimits& aLimits,
                              Core::TimePoint aNow)
   {
-    const bool isLate = aNow + aLimits.serviceTime >=
+    const bool isLate = aNow + aLimits.onTimeReserve() >=
                         aPending.firstSentAt + aLimits.latencyObjective;
     return isLate && aPending.firstSentAt < aLimits.earliest;
   }
@@ -532,7 +532,7 @@
       select(aService,
              aRoute,
              flowHash(aPending.flow),
-             age + aLimits.serviceTime < aRoute.latencyObjective,
+             age + aLimits.onTimeReserve() < aRoute.latencyObjective,
              aForecast);
     if (chosen == nullptr) {
       return;
--- a/src/libs/steering/queuedflows.cpp
+++ b/src/libs/steering/queuedflows.cpp
@@ -1,6 +1,7 @@
 #include "steering/queuedflows.h"
 
 #include <iterator>
+#include <limits>
 
 namespace Steering {
 
@@ -9,13 +10,13 @@
                                    Core::TimePoint aNow)
   : mFlows(&aFlows)
   , mLimits(aLimits)
-  , mLateUntil(aNow + aLimits.serviceTime - aLimits.latencyObjective)
+  , mLateUntil(aNow + aLimits.onTimeReserve() - aLimits.latencyObjective)
 {
-  if (!aFlows.empty() && aFlows.rbegin()->firstSentAt > mLateUntil) {
-    mCurrent = *aFlows.rbegin();
-  } else {
-    moveToLate();
-  }
+  constexpr auto kLastNumber = std::numeric_limits<std::uint64_t>::max();
+  const auto firstOnTime = aFlows.upper_bound({ mLateUntil, kLastNumber, {} });
+  const bool isAnyOnTime = firstOnTime != aFlows.end();
+  setOnTime(isNewestFirst() && isAnyOnTime ? std::prev(aFlows.end())
+                                           : firstOnTime);
 }
 
 WaitingRequest
@@ -38,13 +39,12 @@
     setLate(mFlows->upper_bound(*mCurrent));
     return;
   }
-  const auto position = mFlows->lower_bound(*mCurrent);
-  if (position != mFlows->begin() &&
-      std::prev(position)->firstSentAt > mLateUntil) {
-    mCurrent = *std::prev(position);
-  } else {
-    moveToLate();
+  if (!isNewestFirst()) {
+    setOnTime(mFlows->upper_bound(*mCurrent));
+    return;
   }
+  const auto position = mFlows->lower_bound(*mCurrent);
+  setOnTime(position == mFlows->begin() ? mFlows->end() : std::prev(position));
 }
 
 void
@@ -55,6 +55,16 @@
   }
 }
 
+void
+QueuedFlowCursor::setOnTime(QueuedFlowSet::const_iterator aPosition)
+{
+  if (aPosition != mFlows->end() && aPosition->firstSentAt > mLateUntil) {
+    mCurrent = *aPosition;
+  } else {
+    moveToLate();
+  }
+}
+
 void
 QueuedFlowCursor::moveToLate()
 {
--- a/src/libs/steering/queuedflows.h
+++ b/src/libs/steering/queuedflows.h
@@ -42,12 +42,18 @@
   std::chrono::milliseconds serviceTime{ 0 };
   /** Late flows whose first SYN was sent before this time are left out. */
   Core::TimePoint earliest = Core::TimePoint::min();
+
+  std::chrono::milliseconds onTimeReserve() const
+  {
+    return ServiceOrder::kOnTimeReserve * serviceTime;
+  }
 };
 
 /**
- * Walks the queued flows of a route: first those on time, the newest first,
- * because the wait at a target is still to come; then the late ones, the oldest
- * first. The set may change during the walk. Each step takes logarithmic time.
+ * Walks the queued flows of a route: first those on time, then the late ones,
+ * each the oldest first. If no service time is known, the newest of those on
+ * time comes first. The set may change during the walk. Each step takes
+ * logarithmic time.
  */
 class QueuedFlowCursor
 {
@@ -71,6 +77,8 @@
   void skipAll() { mCurrent.reset(); }
 
 private:
+  bool isNewestFirst() const { return mLimits.serviceTime.count() == 0; }
+  void setOnTime(QueuedFlowSet::const_iterator aPosition);
   void moveToLate();
   void setLate(QueuedFlowSet::const_iterator aPosition);
 
--- a/src/libs/steering/serviceorder.cpp
+++ b/src/libs/steering/serviceorder.cpp
@@ -5,6 +5,12 @@
 
 namespace Steering {
 
+bool
+WaitingRequest::isOnTime(Core::TimePoint aNow) const
+{
+  return aNow + ServiceOrder::kOnTimeReserve * serviceTime < lateAt;
+}
+
 bool
 ServiceOrder::isServedBefore(const WaitingRequest& aLeft,
                              const WaitingRequest& aRight,
@@ -85,7 +91,7 @@
 ServiceOrder::expectedServiceTime(std::chrono::milliseconds aMean,
                                   std::chrono::milliseconds aLatencyObjective)
 {
-  return std::min(aMean * 5 / 4, aLatencyObjective / 2);
+  return std::min(aMean, aLatencyObjective / 2 / kOnTimeReserve);
 }
 
 } // namespace Steering
--- a/src/libs/steering/serviceorder.h
+++ b/src/libs/steering/serviceorder.h
@@ -23,18 +23,15 @@
   Core::TimePoint lateAt{};
   /** Time at which the caller gives up. */
   Core::TimePoint expiresAt{};
-  /** Expected time from the delivery to the answer; 0 if not considered. */
+  /** Mean time from the delivery to the answer; 0 if not considered. */
   std::chrono::milliseconds serviceTime{ 0 };
   /** Order of arrival; unique within a queue. Breaks ties. */
   std::uint64_t number = 0;
 
   bool hasServiceTime() const { return serviceTime.count() > 0; }
-  /** Whether the answer would arrive within the latency objective. */
-  bool isOnTime(Core::TimePoint aNow) const
-  {
-    return aNow + serviceTime < lateAt;
-  }
-  /** Whether the answer would arrive before the caller gives up. */
+  /** Whether the answer is almost certain to be within the objective. */
+  bool isOnTime(Core::TimePoint aNow) const;
+  /** Whether the answer is expected before the caller gives up. */
   bool isAnswerable(Core::TimePoint aNow) const
   {
     return aNow + serviceTime < expiresAt;
@@ -47,7 +44,9 @@
  * - Requests that can still be answered on time come before late ones.
  * - Among these, the more urgent class comes first.
  * - Within a class, the oldest request comes first: it was selected because it
- *   can still be answered on time, while newer ones have more time left. If the
+ *   can still be answered on time, while newer ones have more time left. That
+ *   requires a reserve: with just the mean left, every second answer is late,
+ *   and under a lasting overload all requests would be served with that. If the
  *   service time is not considered, the newest of those on time comes first:
  *   the older ones may be late in any case.
  * - A class that waits gets at least one of kShareInterval slots.
@@ -59,6 +58,12 @@
 public:
   /** A class that waits gets at least one of this number of slots. */
   static constexpr std::uint8_t kShareInterval = 10;
+  /**
+   * A request is on time while this many mean service times are left. One
+   * request in twenty takes longer if their standard deviation is half of the
+   * mean.
+   */
+  static constexpr int kOnTimeReserve = 2;
   static constexpr std::size_t kClassCount =
     std::numeric_limits<std::uint8_t>::max() + 1;
 
@@ -82,10 +87,9 @@
 
   /**
    * The service time to expect of a request when the mean of its server is
-   * aMean. A quarter is added for the latency to the caller, which neither
-   * agents nor balancers measure. The result is at most half of the latency
-   * objective, since a server whose mean was raised by a suspension would
-   * otherwise get no request from which a lower mean could be learned.
+   * aMean. The reserve is at most half of the latency objective, since a server
+   * whose mean was raised by a suspension would otherwise get no request from
+   * which a lower mean could be learned.
    */
   static std::chrono::milliseconds expectedServiceTime(
     std::chrono::milliseconds aMean,
--- a/src/libs/steering/steererreport.cpp
+++ b/src/libs/steering/steererreport.cpp
@@ -4,6 +4,25 @@
 
 namespace Steering {
 
+SteererReport::SteererReport(const SteeringCounters& aCounters)
+  : mIncreases(aCounters,
+               { SteeringCounter::PacketsReceived,
+                 SteeringCounter::PacketsForwarded,
+                 SteeringCounter::OwnerQueries,
+                 SteeringCounter::FlowsSearched,
+                 SteeringCounter::FlowsFound,
+                 SteeringCounter::BytesToAgents,
+                 SteeringCounter::FlowsChosen,
+                 SteeringCounter::FlowsChosenAgain,
+                 SteeringCounter::FlowsTurnedAway,
+                 SteeringCounter::FlowsRejectedEjected,
+                 SteeringCounter::FlowsRefused,
+                 SteeringCounter::FlowsRefusedUnanswerable,
+                 SteeringCounter::OpeningsRepeated,
+                 SteeringCounter::OpeningsExpired })
+{
+}
+
 void
 SteererReport::recordReplyTime(std::chrono::milliseconds aReplyTime)
 {
@@ -29,9 +48,7 @@
     aEvents.write(Telemetry::Event::BalancerLoad,
                   [&] { return createFields(aWork); });
   }
-  for (std::size_t i = 0; i < kCounters.size(); ++i) {
-    mPreviousValues[i] = mCounters.value(kCounters[i]);
-  }
+  mIncreases.restart();
   mLastReportAt = aNow;
   mLongestReplyTime = {};
   mLongestPause = {};
@@ -46,10 +63,7 @@
     .add("suspected", aWork.suspectedAgents)
     .add("replyMs", mLongestReplyTime)
     .add("pauseMs", mLongestPause);
-  for (std::size_t i = 0; i < kCounters.size(); ++i) {
-    fields.add(nameOf(kCounters[i]).c_str(),
-               mCounters.value(kCounters[i]) - mPreviousValues[i]);
-  }
+  mIncreases.addTo(fields);
   return fields;
 }
 
--- a/src/libs/steering/steererreport.h
+++ b/src/libs/steering/steererreport.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "steering/steeringcounters.h"
+#include "steering/counterincreases.h"
 
 #include "core/clock.h"
 #include "telemetry/eventlog.h"
 
-#include <array>
 #include <chrono>
-#include <cstdint>
+#include <cstddef>
 
 namespace Steering {
 
@@ -34,10 +33,7 @@
 public:
   static constexpr std::chrono::seconds kInterval{ 1 };
 
-  explicit SteererReport(const SteeringCounters& aCounters)
-    : mCounters(aCounters)
-  {
-  }
+  explicit SteererReport(const SteeringCounters& aCounters);
 
   /** An agent's reply took this long. */
   void recordReplyTime(std::chrono::milliseconds aReplyTime);
@@ -47,17 +43,9 @@
             Core::TimePoint aNow);
 
 private:
-  /** The counters whose increase the event shows. */
-  static constexpr std::array kCounters{
-    SteeringCounter::PacketsReceived, SteeringCounter::PacketsForwarded,
-    SteeringCounter::OwnerQueries,    SteeringCounter::FlowsSearched,
-    SteeringCounter::FlowsFound,      SteeringCounter::BytesToAgents,
-  };
-
   Telemetry::EventFields createFields(const PendingWork& aWork) const;
 
-  const SteeringCounters& mCounters;
-  std::array<std::uint64_t, kCounters.size()> mPreviousValues{};
+  CounterIncreases mIncreases;
   std::chrono::milliseconds mLongestReplyTime{ 0 };
   std::chrono::milliseconds mLongestPause{ 0 };
   Core::TimePoint mLastTickAt{};
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -74,12 +74,33 @@
 }
 
 void
-TargetFlowTable::markDelivered(TargetFlow& aFlow, Core::TimePoint aNow)
+TargetFlowTable::markDelivered(const Packet::FlowKey& aKey,
+                               TargetFlow& aFlow,
+                               std::uint32_t aSlots,
+                               Core::TimePoint aNow)
 {
-  if (!aFlow.isEnded && aFlow.request != RequestState::Delivered) {
-    setRequest(aFlow, RequestState::Delivered);
-    aFlow.deliveredAt = aNow;
-    recordReuse(aFlow);
+  if (aFlow.isEnded || aFlow.request == RequestState::Delivered) {
+    return;
+  }
+  if (mDelivered >= aSlots) {
+    mUnstarted.push_back(aKey);
+  }
+  setRequest(aFlow, RequestState::Delivered);
+  aFlow.deliveredAt = aNow;
+  aFlow.startedAt = aNow;
+  recordReuse(aFlow);
+}
+
+void
+TargetFlowTable::startNext(Core::TimePoint aNow)
+{
+  while (!mUnstarted.empty()) {
+    auto* flow = find(mUnstarted.front());
+    mUnstarted.pop_front();
+    if (flow != nullptr && flow->request == RequestState::Delivered) {
+      flow->startedAt = aNow;
+      return;
+    }
   }
 }
 
@@ -100,9 +121,10 @@
   if (aFlow.request != RequestState::Delivered) {
     return;
   }
-  mServiceTime.record(aFlow.requestClass, aNow - aFlow.deliveredAt);
+  mServiceTime.record(aFlow.requestClass, aNow - aFlow.startedAt);
   mReturnedOpenFlows = 0;
   setRequest(aFlow, RequestState::None);
+  startNext(aNow);
 }
 
 void
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -36,6 +36,8 @@
   Core::TimePoint lastPacketAt{};
   /** When the request was delivered. */
   Core::TimePoint deliveredAt{};
+  /** When the backend server had a slot for the request. */
+  Core::TimePoint startedAt{};
   /** Start of the caller's waiting time for the flow, as far as known. */
   Core::TimePoint waitingSince{};
   /**
@@ -116,7 +118,15 @@
   /** Returns true for new data, false for a retransmission. */
   static bool recordCallerData(TargetFlow& aFlow, std::uint32_t aSequence);
   void markQueued(TargetFlow& aFlow);
-  void markDelivered(TargetFlow& aFlow, Core::TimePoint aNow);
+  /**
+   * Records that the backend server got the flow's request. It works on aSlots
+   * requests at a time, so a request in excess of them starts with the next
+   * answer.
+   */
+  void markDelivered(const Packet::FlowKey& aKey,
+                     TargetFlow& aFlow,
+                     std::uint32_t aSlots,
+                     Core::TimePoint aNow);
   void recordAnswer(TargetFlow& aFlow, Core::TimePoint aNow);
   /**
    * Records that the backend server returned a packet of the flow. A backend
@@ -164,10 +174,14 @@
   void sweep(Core::TimePoint aNow);
   void recordReuse(TargetFlow& aFlow);
   void setRequest(TargetFlow& aFlow, RequestState aState);
+  /** A slot is free for the next request delivered in excess of the slots. */
+  void startNext(Core::TimePoint aNow);
 
   absl::flat_hash_map<Packet::FlowKey, TargetFlow> mFlows;
   /** In order of admission. */
   std::deque<AdmittedFlow> mAdmittedFlows;
+  /** Flows whose request was delivered in excess of the slots, in order. */
+  std::deque<Packet::FlowKey> mUnstarted;
   std::uint32_t mExpected = 0;
   std::uint32_t mDelivered = 0;
   std::uint32_t mLongLivedFlows = 0;
--- a/src/libs/telemetry/eventcatalogue.cpp
+++ b/src/libs/telemetry/eventcatalogue.cpp
@@ -91,6 +91,7 @@
   EventDescription{ Event::SlowStartLimited,
                     Severity::Information,
                     "slow-start-limited" },
+  EventDescription{ Event::AgentLoad, Severity::Information, "agent-load" },
   EventDescription{ Event::DrainStarted,
                     Severity::Information,
                     "drain-started" },
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -43,6 +43,7 @@
   RequestAnswered = 324,
   RequestGivenUp = 325,
   SlowStartLimited = 326,
+  AgentLoad = 327,
   DrainStarted = 400,
   DrainFinished = 401,
   DrainDeadline = 402,
