--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -527,10 +527,11 @@
   }
 
   /**
-   * Maximum queue time of a request that is on time. While late requests are
-   * queued, a rejected one would leave them the next free slot, so requests are
-   * admitted as long as an answer on time is likely: within the rest of the
-   * objective less twice the service time.
+   * Maximum queue time of a request that is on time. With priorities, or while
+   * late requests are queued, requests are admitted as long as an answer on
+   * time is likely: within the rest of the objective less the reserve. A
+   * rejected one would leave late requests the next free slot, or wait at its
+   * balancer while other servers are as busy.
    */
   std::chrono::milliseconds maxQueueTimeOf(const AgentMessage& aMessage,
                                            Core::TimePoint aNow) const
@@ -786,8 +787,8 @@
   }
 
   /**
-   * Records it if the packet ends a flow whose request the backend server has
-   * not answered. A reset by the caller never gets here.
+   * Records a failure if a packet of the backend server ends a flow whose
+   * request it has not answered. Resets by callers are not passed to it.
    */
   void recordFailure(const PacketType& aPacket,
                      const TargetFlow& aFlow,
--- a/src/libs/steering/agentreport.h
+++ b/src/libs/steering/agentreport.h
@@ -13,17 +13,21 @@
 /** The requests of an agent at one moment. */
 struct AgentWork
 {
+  /** Requests that the backend server has. */
   std::uint32_t delivered = 0;
+  /** Admitted flows whose first request has not arrived yet. */
   std::uint32_t expected = 0;
+  /** Requests that wait at the agent for a slot. */
   std::size_t queued = 0;
   std::uint32_t slots = 0;
+  /** Mean time to answer a request. */
   std::chrono::milliseconds serviceTime{ 0 };
 };
 
 /**
- * Writes the event AgentLoad once per second while the agent has requests or
- * has rejected some. The lines of single flows are limited, so they do not show
- * what happens to most requests under overload. Not thread-safe.
+ * Writes the event AgentLoad once per second while packets arrive. The lines of
+ * single flows are limited, so they do not show what happens to most requests
+ * under overload. Not thread-safe.
  */
 class AgentReport
 {
--- a/src/libs/steering/outlierdetector.h
+++ b/src/libs/steering/outlierdetector.h
@@ -51,7 +51,7 @@
   bool takeProbe(bool aIsIdempotent, Core::TimePoint aNow);
 
   bool isEjected() const { return mIsEjected; }
-  /** Ejected, and it has failed long enough that no request will succeed. */
+  /** It is ejected and has failed kDownThreshold requests in succession. */
   bool isDown() const { return mFailures >= kDownThreshold; }
   /**
    * Slots out of aSlots that new requests may use; less than aSlots until a
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -84,6 +84,7 @@
     decoded.map->findRoute(*Core::parseEndpoint("198.18.0.1:8443"));
   REQUIRE(route != nullptr);
   CHECK(route->flowType == Steering::FlowType::ManyRequests);
+  CHECK(route->isIdempotent);
   CHECK(route->timeout == 4'000ms);
   CHECK(route->latencyObjective == 300ms);
   REQUIRE(route->shares.size() == 2);
@@ -92,6 +93,7 @@
     decoded.map->findRoute(*Core::parseEndpoint("198.18.0.2:8443"));
   REQUIRE(upload != nullptr);
   CHECK(upload->flowType == Steering::FlowType::OneRequest);
+  CHECK_FALSE(upload->isIdempotent);
   const auto* target = decoded.map->findTarget(agentEndpoint("10.0.0.1"));
   REQUIRE(target != nullptr);
   CHECK(target->slots == 7);
--- a/tests/auto/steering/tst_agentmessage.cpp
+++ b/tests/auto/steering/tst_agentmessage.cpp
@@ -52,10 +52,15 @@
   message.kind = Steering::MessageKind::Forward;
   message.priority = 200;
   message.isZoneEvacuated = true;
+  message.isIdempotent = true;
+  message.ignoresEjection = true;
   message.slowStart = { 35, 1'700ms };
   const auto parsed = roundTrip(message);
   CHECK(parsed.priority == 200);
   CHECK(parsed.isZoneEvacuated);
+  CHECK(parsed.isIdempotent);
+  CHECK(parsed.ignoresEjection);
+  CHECK_FALSE(parsed.load.isEjected);
   REQUIRE(parsed.slowStart.has_value());
   CHECK(parsed.slowStart->limit == 35);
   CHECK(parsed.slowStart->remaining == 1'700ms);
@@ -69,6 +74,7 @@
   message.reason = Steering::RejectReason::Full;
   message.load = { 5, 3, 41, 55ms, true };
   message.load.slowStartBudget = 9;
+  message.load.isEjected = true;
   message.sendTime = Steering::SendTime(7);
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Reject);
@@ -80,6 +86,9 @@
   CHECK(parsed.load.serviceTime == 55ms);
   CHECK(parsed.load.slowStartBudget == 9);
   CHECK(parsed.load.isUnavailable);
+  CHECK(parsed.load.isEjected);
+  CHECK_FALSE(parsed.load.hasFullHistory);
+  CHECK_FALSE(parsed.isIdempotent);
 }
 
 TEST_CASE("agent message: parsing fails for invalid headers")
