Steering: Serve requests last whose callers have closed

After the time-out a retransmission of a request that had been given up counted as a new one and was delivered.

Change: the agent records that the caller has closed. Its queued request is served after all others, since a caller may close and still read, and counts neither as load nor against new flows. A close or reset by the server after that is neither a failure nor an answer, unless an answer is known to precede it. The record of a given-up request is kept while its caller retransmits.

The two new cases of tst_steering failed before: 20 failures, departed callers served first.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -391,10 +391,9 @@
   std::uint32_t slowStartBudget(Core::TimePoint aNow) const
   {
     const auto budget = mSlowStart.budget(aNow);
-    const auto queued = static_cast<std::uint32_t>(mQueue.size());
     return budget == SlowStartLimiter::kUnlimited
              ? budget
-             : budget - std::min(budget, queued);
+             : budget - std::min(budget, mQueue.openCount());
   }
 
   bool canTakeNewFlow(Core::TimePoint aNow) const
@@ -537,7 +536,7 @@
                                            Core::TimePoint aNow) const
   {
     const auto limit = maxQueueTime(aMessage.latencyObjective);
-    if (mQueue.onTimeCount(aNow) == mQueue.size() && !hasPriorities()) {
+    if (mQueue.onTimeCount(aNow) == mQueue.openCount() && !hasPriorities()) {
       return limit;
     }
     return std::max(limit,
@@ -588,6 +587,10 @@
     } else {
       flow.wantsOwnerNotice |= aMessage.wantsOwnerNotice;
     }
+    if (aPacket.isFin()) {
+      flow.hasCallerClosed = true;
+      mQueue.markCallerClosed(key);
+    }
     if (aPacket.isReset()) {
       mQueue.erase(key);
       mFlows.markEnded(flow);
@@ -669,6 +672,7 @@
     recordPriority(aMessage.priority);
     request.waiting =
       waitingRequest(aMessage, isFirstRequest ? aFlow.waitingSince : aNow);
+    request.hasCallerClosed = aFlow.hasCallerClosed;
     request.packets.push_back(copyBytes(aPacket));
     mQueue.add(std::move(request));
     mFlows.markQueued(aFlow);
@@ -701,13 +705,20 @@
     }
   }
 
-  /** Removes the flows of given-up requests whose callers have left. */
+  /**
+   * Removes the flows of given-up requests whose callers have left. A caller
+   * that has closed retransmits its request with its FIN for a while; without
+   * the entry, it would count as a new request and be delivered.
+   */
   void forgetExpired(Core::TimePoint aNow)
   {
     giveUpUnanswerable(aNow);
     absl::erase_if(mGivenUpRequests, [this, aNow](const auto& aEntry) {
       const auto* flow = mFlows.find(aEntry.first);
-      const bool hasExpired = aNow >= aEntry.second;
+      const auto retention = flow != nullptr && flow->hasCallerClosed
+                               ? TargetFlowTable::kEndedFlowRetention
+                               : std::chrono::seconds(0);
+      const bool hasExpired = aNow >= aEntry.second + retention;
       if (hasExpired && flow != nullptr &&
           flow->request == RequestState::None) {
         mFlows.erase(aEntry.first);
@@ -757,10 +768,7 @@
       return;
     }
     flow.isConfirmed = true;
-    const bool isAnswer =
-      aPacket.hasPayload() ||
-      (aPacket.isFin() && !isCloseWithoutAnswer(aPacket, flow));
-    if (isAnswer) {
+    if (aPacket.hasPayload() || isCloseAfterAnswer(aPacket, flow)) {
       flow.answerSequence.reset();
       flow.waitingSince = {};
       flow.slowStartPlaceAt = {};
@@ -788,7 +796,8 @@
 
   /**
    * Records a failure if a packet of the backend server ends a flow whose
-   * request it has not answered. Resets by callers are not passed to it.
+   * request it has not answered, unless the caller has closed before. Resets by
+   * callers are not passed to it.
    */
   void recordFailure(const PacketType& aPacket,
                      const TargetFlow& aFlow,
@@ -802,7 +811,7 @@
       aPacket.isReset()
         ? isRequestUnanswered || isSynUnanswered
         : isRequestUnanswered && isCloseWithoutAnswer(aPacket, aFlow);
-    if (!isFailure) {
+    if (!isFailure || aFlow.hasCallerClosed) {
       return;
     }
     mCounters.increment(SteeringCounter::RequestsFailed);
@@ -828,6 +837,18 @@
            aFlow.answerSequence == aPacket.sequence();
   }
 
+  /**
+   * Whether a FIN shows that the backend server sent its answer before. If the
+   * agent has not seen the SYN-ACK, it cannot tell that from a FIN in reply to
+   * the caller's.
+   */
+  static bool isCloseAfterAnswer(const PacketType& aPacket,
+                                 const TargetFlow& aFlow)
+  {
+    const bool isReply = aFlow.hasCallerClosed && !aFlow.answerSequence;
+    return aPacket.isFin() && !isReply && !isCloseWithoutAnswer(aPacket, aFlow);
+  }
+
   void recordAnswer(TargetFlow& aFlow,
                     const Packet::FlowKey& aKey,
                     Core::TimePoint aNow)
@@ -978,8 +999,7 @@
     // Slots that the backend server may not use yet count as used.
     const auto unusableSlots = mSlots - mOutliers.usableSlots(mSlots);
     load.inProgress = toUint16(mFlows.inProgress() + onTime + unusableSlots);
-    load.lateRequests =
-      toUint16(static_cast<std::uint32_t>(mQueue.size()) - onTime);
+    load.lateRequests = toUint16(mQueue.openCount() - onTime);
     load.longLivedFlows = toUint16(mFlows.longLivedFlows());
     load.serviceTime = mFlows.reportedServiceTime();
     load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
--- a/src/libs/steering/requestqueue.cpp
+++ b/src/libs/steering/requestqueue.cpp
@@ -12,9 +12,31 @@
 {
   aRequest.waiting.number = ++mLastNumber;
   const auto flow = aRequest.flow;
+  erase(flow);
+  mClosedCount += aRequest.hasCallerClosed ? 1 : 0;
   mRequests[flow] = std::move(aRequest);
 }
 
+void
+RequestQueue::erase(const Packet::FlowKey& aFlow)
+{
+  const auto it = mRequests.find(aFlow);
+  if (it != mRequests.end()) {
+    mClosedCount -= it->second.hasCallerClosed ? 1 : 0;
+    mRequests.erase(it);
+  }
+}
+
+void
+RequestQueue::markCallerClosed(const Packet::FlowKey& aFlow)
+{
+  const auto it = mRequests.find(aFlow);
+  if (it != mRequests.end() &&
+      !std::exchange(it->second.hasCallerClosed, true)) {
+    ++mClosedCount;
+  }
+}
+
 void
 RequestQueue::appendPacket(const Packet::FlowKey& aFlow,
                            std::vector<std::uint8_t> aPacket)
@@ -35,7 +57,11 @@
   constexpr std::size_t kUsualClassCount = 4;
   absl::InlinedVector<WaitingRequest, kUsualClassCount> heads;
   absl::InlinedVector<Packet::FlowKey, kUsualClassCount> flows;
+  const bool isAnyOpen = openCount() > 0;
   for (const auto& [flow, request] : mRequests) {
+    if (isAnyOpen && request.hasCallerClosed) {
+      continue;
+    }
     const auto& waiting = request.waiting;
     const auto head =
       std::find_if(heads.begin(), heads.end(), [&waiting](const auto& aHead) {
@@ -53,6 +79,7 @@
   mOrder.recordServed(heads, next);
   const auto it = mRequests.find(flows[next]);
   auto request = std::move(it->second);
+  mClosedCount -= request.hasCallerClosed ? 1 : 0;
   mRequests.erase(it);
   return request;
 }
@@ -61,9 +88,10 @@
 RequestQueue::takeUnanswerable(Core::TimePoint aNow)
 {
   std::vector<QueuedRequest> requests;
-  absl::erase_if(mRequests, [&requests, aNow](auto& aEntry) {
+  absl::erase_if(mRequests, [this, &requests, aNow](auto& aEntry) {
     const bool isAnswerable = aEntry.second.waiting.isAnswerable(aNow);
     if (!isAnswerable) {
+      mClosedCount -= aEntry.second.hasCallerClosed ? 1 : 0;
       requests.push_back(std::move(aEntry.second));
     }
     return !isAnswerable;
@@ -81,7 +109,8 @@
 {
   return static_cast<std::uint32_t>(std::count_if(
     mRequests.begin(), mRequests.end(), [aNow](const auto& aEntry) {
-      return aEntry.second.waiting.isOnTime(aNow);
+      return !aEntry.second.hasCallerClosed &&
+             aEntry.second.waiting.isOnTime(aNow);
     }));
 }
 
@@ -92,6 +121,9 @@
   std::uint32_t ahead = 0;
   std::uint32_t ownClass = 0;
   for (const auto& [flow, request] : mRequests) {
+    if (request.hasCallerClosed) {
+      continue;
+    }
     const auto& waiting = request.waiting;
     const bool isOnTime = waiting.isOnTime(aNow);
     const bool isUrgent = waiting.priority <= aNew.priority;
--- a/src/libs/steering/requestqueue.h
+++ b/src/libs/steering/requestqueue.h
@@ -22,6 +22,11 @@
   Packet::FlowKey flow;
   /** The queue sets the number. */
   WaitingRequest waiting;
+  /**
+   * The caller has closed its side of the flow. Most callers have left then,
+   * but one that still reads gets an answer if no other request waits.
+   */
+  bool hasCallerClosed = false;
   /** The caller's packets in order of arrival. */
   std::vector<std::vector<std::uint8_t>> packets;
 };
@@ -45,11 +50,14 @@
   /** Adds a packet to a queued request; no-op if the request is full. */
   void appendPacket(const Packet::FlowKey& aFlow,
                     std::vector<std::uint8_t> aPacket);
+  /** Records that the caller has closed its side of the flow. */
+  void markCallerClosed(const Packet::FlowKey& aFlow);
   /**
    * Removes and returns the next request; std::nullopt if the queue is empty.
+   * Requests whose callers have closed come after all others.
    */
   std::optional<QueuedRequest> takeNext(Core::TimePoint aNow);
-  void erase(const Packet::FlowKey& aFlow) { mRequests.erase(aFlow); }
+  void erase(const Packet::FlowKey& aFlow);
   /**
    * Removes and returns the requests that cannot be answered before their
    * callers give up, in order of arrival.
@@ -58,12 +66,21 @@
 
   bool isEmpty() const { return mRequests.empty(); }
   std::size_t size() const { return mRequests.size(); }
-  /** Number of requests that can still be answered on time. */
+  /** Number of requests whose callers have not closed. */
+  std::uint32_t openCount() const
+  {
+    return static_cast<std::uint32_t>(mRequests.size()) - mClosedCount;
+  }
+  /**
+   * Number of requests that can still be answered on time and whose callers
+   * have not closed.
+   */
   std::uint32_t onTimeCount(Core::TimePoint aNow) const;
   /**
    * Number of requests that count against a new one: those of its class and of
    * more urgent ones, and all that are on time if it is late. Late requests do
-   * not count if it is on time. The share of its class limits the number.
+   * not count if it is on time, and requests whose callers have closed never
+   * do. The share of its class limits the number.
    */
   std::uint32_t countAhead(const WaitingRequest& aNew,
                            Core::TimePoint aNow) const;
@@ -71,6 +88,7 @@
 private:
   absl::flat_hash_map<Packet::FlowKey, QueuedRequest> mRequests;
   ServiceOrder mOrder;
+  std::uint32_t mClosedCount = 0;
   std::uint64_t mLastNumber = 0;
 };
 
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -46,6 +46,7 @@
 {
   if (std::exchange(aFlow.isEnded, false)) {
     aFlow.hasCallerData = false;
+    aFlow.hasCallerClosed = false;
   }
   if (aFlow.request == RequestState::None) {
     setRequest(aFlow, RequestState::Expected);
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -62,6 +62,8 @@
   /** The backend server has sent a packet of the flow. */
   bool isConfirmed = false;
   bool hasCallerData = false;
+  /** The caller has sent a FIN, so it has most likely left. */
+  bool hasCallerClosed = false;
   bool wantsOwnerNotice = false;
   /**
    * The backend server closed the flow, or either side reset it. Further
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -95,6 +95,14 @@
     fields.isSyn = true;
     return Test::encode(fields);
   }
+  static Bytes callerFin(std::uint16_t aCallerPort)
+  {
+    Test::PacketFields fields;
+    fields.flow = Test::flowOf(aCallerPort);
+    fields.isFin = true;
+    fields.sequence = 10;
+    return Test::encode(fields);
+  }
   static Bytes dataPacket(std::uint16_t aCallerPort, std::uint32_t aSequence)
   {
     Test::PacketFields fields;
@@ -322,6 +330,25 @@
   CHECK(f.rejections().empty());
 }
 
+// Guards against an ejection under overload, when callers give up and the
+// backend server only closes in reply, and against such replies as answers.
+TEST_CASE("a close by the backend server after its caller's has no effect")
+{
+  Fixture f;
+  for (std::uint16_t caller = 1; caller <= 20; ++caller) {
+    f.startRequest(caller);
+    f.forward(Fixture::callerFin(caller));
+    f.sendFin(caller, 501);
+  }
+  CHECK(f.controller.counters().value(
+          Steering::SteeringCounter::RequestsFailed) == 0);
+  CHECK(f.rejections().empty());
+  CHECK(f.controller.inProgress() == 0);
+  f.forward(Fixture::synPacket(21));
+  f.sendSynAck(21);
+  CHECK(f.output.toBalancers.back().message.load.serviceTime == 0ms);
+}
+
 // Guards against an ejection because a FIN overtook the answer.
 TEST_CASE("a close is a failure only if no byte of an answer came before it")
 {
@@ -585,6 +612,38 @@
   CHECK(f.output.delivered.size() == deliveredBefore);
 }
 
+// Load: after a power loss, a fifth of the queued requests have callers that
+// gave up, while new ones wait behind them.
+TEST_CASE("a request whose caller has closed is served after all others")
+{
+  Fixture f;
+  fillSlots(f);
+  f.startRequest(4);
+  f.forward(Fixture::callerFin(4));
+  CHECK(f.controller.queuedRequests() == 1);
+  f.now += 70ms;
+  f.forward(Fixture::synPacket(5), kBalancer, 200ms);
+  f.sendSynAck(5);
+  CHECK(f.output.toBalancers.back().message.load.lateRequests == 0);
+  f.forward(Fixture::dataPacket(5, 1));
+  f.sendAnswer(1);
+  CHECK(lastDeliveredCaller(f) == 5);
+  SUBCASE("and gets an answer if its caller still reads")
+  {
+    f.sendAnswer(2);
+    CHECK(lastDeliveredCaller(f) == 4);
+    CHECK(f.controller.queuedRequests() == 0);
+  }
+  SUBCASE("and is not delivered after its caller has left")
+  {
+    f.now += 2'000ms;
+    f.controller.tick(f.now);
+    const auto before = f.output.delivered.size();
+    f.forward(Fixture::dataPacket(4, 1));
+    CHECK(f.output.delivered.size() == before);
+  }
+}
+
 TEST_CASE("an expired request is removed from the queue")
 {
   Fixture f;
