Platform: Show how old the confirmation of the fleet map is

No decision is changed.

Checked: tst_membership and tst_platform build; the cases that were there before pass.

--- a/src/libs/membership/mapfollowing.cpp
+++ b/src/libs/membership/mapfollowing.cpp
@@ -78,16 +78,16 @@
 }
 
 void
-MapFollowing::beginStoreCall()
+MapFollowing::beginStoreCall(Core::TimePoint aNow)
 {
-  mIsCallingStore = true;
+  mStoreCallStartedAt = aNow;
   mIsCallStale = false;
 }
 
 void
 MapFollowing::endStoreCall(bool aIsAnswered, Core::TimePoint aNow)
 {
-  mIsCallingStore = false;
+  mStoreCallStartedAt.reset();
   mHasStoreAnswered = aIsAnswered;
   mStoreFailedAt = aIsAnswered ? Core::TimePoint{} : aNow;
   if (aIsAnswered) {
@@ -99,7 +99,7 @@
 void
 MapFollowing::cancelStoreCall()
 {
-  mIsCallingStore = false;
+  mStoreCallStartedAt.reset();
   mHasStoreAnswered = false;
 }
 
@@ -160,6 +160,15 @@
   return confirmedAge(aNow) < kCurrentTimeout;
 }
 
+std::chrono::milliseconds
+MapFollowing::storeCallAge(Core::TimePoint aNow) const
+{
+  return mStoreCallStartedAt
+           ? std::chrono::duration_cast<std::chrono::milliseconds>(
+               aNow - *mStoreCallStartedAt)
+           : std::chrono::milliseconds::zero();
+}
+
 MemberMessage
 MapFollowing::createMessage(Core::TimePoint aNow) const
 {
@@ -222,7 +231,7 @@
   if (!mNotice) {
     return false;
   }
-  return !mIsCallingStore || aNow - mNotice->at >= kReaderFetchDelay;
+  return !isCallingStore() || aNow - mNotice->at >= kReaderFetchDelay;
 }
 
 bool
--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -86,7 +86,7 @@
     const Steering::MapRevision& aRevision,
     Core::TimePoint aNow);
   /** A call of the store begins, which may wait for the next change. */
-  void beginStoreCall();
+  void beginStoreCall(Core::TimePoint aNow);
   void endStoreCall(bool aIsAnswered, Core::TimePoint aNow);
   /** The call was given up, which says nothing about the store. */
   void cancelStoreCall();
@@ -106,6 +106,8 @@
   }
   /** Whether the store was known to have no newer map a short time ago. */
   bool isCurrent(Core::TimePoint aNow) const;
+  /** For how long the current call of the store has waited; 0 if none does. */
+  std::chrono::milliseconds storeCallAge(Core::TimePoint aNow) const;
 
 private:
   struct Notice
@@ -118,7 +120,8 @@
   void detectSleep(Core::TimePoint aNow);
   Core::TimePoint arrivalTime(Core::TimePoint aNow) const;
   /** A call waits for the next change, and the one before was answered. */
-  bool isStoreWatched() const { return mIsCallingStore && mHasStoreAnswered; }
+  bool isStoreWatched() const { return isCallingStore() && mHasStoreAnswered; }
+  bool isCallingStore() const { return mStoreCallStartedAt.has_value(); }
   MemberMessage createMessage(Core::TimePoint aNow) const;
   std::vector<OutgoingMessage> createMessages(
     const std::vector<Address>& aRecipients,
@@ -134,7 +137,8 @@
   Steering::MapRevision mRevision;
   Core::TimePoint mConfirmedAt;
   Core::TimePoint mStartedAt;
-  bool mIsCallingStore = false;
+  /** Null unless a call waits for the store. */
+  std::optional<Core::TimePoint> mStoreCallStartedAt;
   /** The process slept during the call, so that its connection may be dead. */
   bool mIsCallStale = false;
   bool mHasStoreAnswered = false;
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -24,6 +24,8 @@
   StoreRestored = 209,
   ZoneEvacuated = 210,
   ZoneReturned = 211,
+  MapUnconfirmed = 212,
+  MapConfirmed = 213,
   MalformedPacket = 300,
   WrongService = 301,
   FlowNotFound = 302,
