--- a/tests/auto/membership/mapdistribution.cpp
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kCrossZoneDelay{ 5 };
 constexpr std::chrono::milliseconds kStoreDelay{ 4 };
 constexpr std::chrono::milliseconds kWatchWaitTime{ 20'000 };
+/** A call that is not answered ends this long after its wait time. */
+constexpr std::chrono::milliseconds kWatchTimeoutMargin{ 600 };
 /** Time in which keep-alive probes detect a silent connection. */
 constexpr std::chrono::milliseconds kKeepAliveTime{ 3'000 };
 constexpr std::chrono::milliseconds kFetchTimeout{ 300 };
@@ -51,6 +53,9 @@
   bool isCutFromStore = false;
   bool isCutFromPeers = false;
   bool isCallingStore = false;
+  /** The store does not answer the current call. */
+  bool isCallLost = false;
+  bool hasStoreFailed = false;
   bool isFetching = false;
   Core::TimePoint pausedUntil{};
   std::uint64_t storeCall = 0;
@@ -91,8 +96,10 @@
   ++mChange;
   mChangeTimes.push_back(mNow);
   for (std::size_t i = 0; i < mProcesses.size(); ++i) {
-    if (mProcesses[i]->isCallingStore && !mProcesses[i]->isCutFromStore) {
-      const auto call = mProcesses[i]->storeCall;
+    const auto& process = *mProcesses[i];
+    if (process.isCallingStore && !process.isCutFromStore &&
+        !process.isCallLost) {
+      const auto call = process.storeCall;
       scheduleAt(i, kStoreDelay, [this, i, call](Process& aProcess) {
         if (aProcess.storeCall == call) {
           endStoreCall(i, true);
@@ -238,6 +245,16 @@
   }
 }
 
+void
+MapDistribution::setStoreSilent(bool aIsSilent)
+{
+  mIsStoreSilent = aIsSilent;
+  for (auto& process : mProcesses) {
+    process->isCallLost =
+      process->isCallLost || (aIsSilent && process->isCallingStore);
+  }
+}
+
 void
 MapDistribution::cutFromPeers(std::size_t aProcess, bool aIsCut)
 {
@@ -337,19 +354,24 @@
   auto& process = *mProcesses[aProcess];
   ++mStoreCallCount;
   process.isCallingStore = true;
+  process.isCallLost = mIsStoreSilent;
   const auto call = ++process.storeCall;
-  process.following->beginStoreCall();
+  process.following->beginStoreCall(mNow);
   const bool isBehind = process.knownChange < mChange;
-  auto duration = isBehind ? kStoreDelay : kWatchWaitTime;
-  if (process.following->needsStoreAnswer()) {
-    duration = kShortWaitTime;
+  const auto waitTime =
+    process.following->needsStoreAnswer() || process.hasStoreFailed
+      ? kShortWaitTime
+      : kWatchWaitTime;
+  auto duration = isBehind ? kStoreDelay : waitTime;
+  if (process.isCallLost) {
+    duration = waitTime + kWatchTimeoutMargin;
   }
   if (process.isCutFromStore) {
     duration = kStoreTimeout;
   }
   scheduleAt(aProcess, duration, [this, aProcess, call](Process& aTarget) {
     if (aTarget.isCallingStore && aTarget.storeCall == call) {
-      endStoreCall(aProcess, !aTarget.isCutFromStore);
+      endStoreCall(aProcess, !aTarget.isCutFromStore && !aTarget.isCallLost);
     }
   });
 }
@@ -359,6 +381,7 @@
 {
   auto& process = *mProcesses[aProcess];
   process.isCallingStore = false;
+  process.hasStoreFailed = !aIsAnswered;
   process.following->endStoreCall(aIsAnswered, mNow);
   if (aIsAnswered) {
     const bool hasChanged =
--- a/tests/auto/membership/mapdistribution.h
+++ b/tests/auto/membership/mapdistribution.h
@@ -60,6 +60,11 @@
   void resume(std::size_t aProcess);
   /** Calls of the process end without an answer after the keep-alive time. */
   void cutFromStore(std::size_t aProcess, bool aIsCut);
+  /**
+   * A silent store never answers the calls that wait or begin meanwhile; their
+   * connections stay open.
+   */
+  void setStoreSilent(bool aIsSilent);
   void cutFromPeers(std::size_t aProcess, bool aIsCut);
 
 private:
@@ -105,6 +110,7 @@
   /** When each change was published, from the second on. */
   std::vector<Core::TimePoint> mChangeTimes;
   std::size_t mStoreCallCount = 0;
+  bool mIsStoreSilent = false;
   std::size_t mDatagramCount = 0;
   std::size_t mDatagramBytes = 0;
 };
--- a/tests/auto/membership/tst_mapdistribution.cpp
+++ b/tests/auto/membership/tst_mapdistribution.cpp
@@ -213,6 +213,28 @@
   CHECK(fleet.storeCallCount() - callsBefore < 100);
 }
 
+TEST_CASE(
+  "changes are in force in time after the store was silent for a while" *
+  doctest::may_fail())
+{
+  for (const std::size_t count : { 1U, 10U, 59U }) {
+    for (const auto silence : { 500ms, 3'000ms, 6'000ms }) {
+      CAPTURE(count);
+      CAPTURE(silence.count());
+      MapDistribution fleet({ count, count == 1 ? 1U : 3U });
+      fleet.advance(10s);
+      fleet.setStoreSilent(true);
+      fleet.advance(silence);
+      fleet.setStoreSilent(false);
+      // A store that has been well for this time counts as stable.
+      fleet.advance(4s);
+      CHECK(distributionTime(fleet) < kLimit / 2);
+      fleet.advance(30s);
+      CHECK(fleet.storeCallers().size() <= 3);
+    }
+  }
+}
+
 TEST_CASE("a process without peers follows the store by itself")
 {
   MapDistribution fleet({ 1, 1 });
--- a/tests/auto/membership/tst_mapfollowing.cpp
+++ b/tests/auto/membership/tst_mapfollowing.cpp
@@ -111,6 +111,29 @@
   CHECK(f.following.nextStep(f.now + patience).step == MapStep::CallStore);
 }
 
+TEST_CASE("a call of the store that waits without an answer does not confirm "
+          "the map" *
+          doctest::may_fail())
+{
+  auto now = Core::TimePoint(1'000s);
+  MapFollowing following(MemberTable(1, kZone, 1), now);
+  following.tick(now);
+  following.setRevision(kRevision, now);
+  following.beginStoreCall(now);
+  following.endStoreCall(true, now);
+  CHECK(following.isCurrent(now));
+  CHECK(following.storeCallAge(now) == 0ms);
+  following.beginStoreCall(now);
+  const auto end = now + MapFollowing::kCurrentTimeout;
+  while (now < end) {
+    now += MapFollowing::kInterval;
+    following.tick(now);
+  }
+  CHECK(following.storeCallAge(now) >= MapFollowing::kCurrentTimeout);
+  CHECK_FALSE(following.isCurrent(now));
+  CHECK(following.confirmedAt(now) <= end - MapFollowing::kCurrentTimeout);
+}
+
 TEST_CASE("a change that is announced during a fetch is fetched next")
 {
   Fixture f;
--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -383,6 +383,29 @@
   CHECK(newcomer.fleetMap.current()->acceptingCount() == 3);
 }
 
+TEST_CASE("changes are in force in time after the store left a call that waits "
+          "unanswered" *
+          doctest::may_fail())
+{
+  Fixture f;
+  f.startFollower();
+  f.store.setSilent(true);
+  // If a watch waits already, this is its answer; the next one gets none.
+  f.store.put("op/config", configurationText(2));
+  std::this_thread::sleep_for(1s);
+  f.store.setSilent(false);
+  // The shortest time between the end of an outage and a change that has to be
+  // in force in time, and the shortest bound for that.
+  std::this_thread::sleep_for(4s);
+  const auto start = clockNow();
+  f.store.put("op/config", configurationText(3));
+  f.store.put("servers/b", announcementText("10.0.0.2", "draining"));
+  CHECK(waitFor([&] {
+    return f.follower.version() == 3 && !f.follower.accepts("10.0.0.2");
+  }));
+  CHECK(clockNow() - start < 3s);
+}
+
 TEST_CASE("a request to a peer leaves no connection open")
 {
   Fixture f;
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -115,6 +115,14 @@
     return isAvailable;
   }
 
+  /** Returns when the store stops, if it is silent. */
+  void waitIfSilent(std::unique_lock<std::mutex>& aLock)
+  {
+    if (isSilent) {
+      changed.wait(aLock, [this] { return isStopping; });
+    }
+  }
+
   void finish(httplib::Response& aResponse, int aStatus) const
   {
     aResponse.status = aStatus;
@@ -136,7 +144,8 @@
   void handleRange(const httplib::Request& aRequest,
                    httplib::Response& aResponse)
   {
-    const std::lock_guard lock(mutex);
+    std::unique_lock lock(mutex);
+    waitIfSilent(lock);
     if (!begin(aResponse)) {
       return;
     }
@@ -165,6 +174,7 @@
                    httplib::Response& aResponse)
   {
     std::unique_lock lock(mutex);
+    waitIfSilent(lock);
     if (!begin(aResponse)) {
       return;
     }
@@ -205,6 +215,7 @@
   std::size_t pageSize = 500;
   std::size_t callCount = 0;
   bool isAvailable = true;
+  bool isSilent = false;
   bool watchesReturnAtOnce = false;
   bool isStopping = false;
 };
@@ -282,6 +293,13 @@
   d->changed.notify_all();
 }
 
+void
+PlatformStore::setSilent(bool aIsSilent)
+{
+  const std::lock_guard lock(d->mutex);
+  d->isSilent = aIsSilent;
+}
+
 void
 PlatformStore::discardHistory()
 {
