Platform: Let only answers of the store confirm the fleet map

Callers saw requests handled by a configuration older than one that had been acknowledged more than 3 s before, and new flows reached backend servers 5 s after they had announced that they leave.

Cause: a call that waits for the store's next change counted as a confirmation of age 0 for as long as it waited, up to 20.6 s. A store that is silent for less than 3 s leaves the call unanswered on a connection that stays open and answers keep-alive probes. All readers waited, and kept the followers from calling the store.

Change: a call waits for 1 s, only its answer confirms the map, and an unconfirmed process asks with a short wait, announces the answer at once and substitutes for the readers for 10 s. A lost answer is noticed after 1.6 s.

Ruled out: an undecodable or older configuration (no call was made), and late followers (the readers themselves served the dropped route).

--- a/src/libs/membership/mapfollowing.cpp
+++ b/src/libs/membership/mapfollowing.cpp
@@ -81,26 +81,31 @@
 MapFollowing::beginStoreCall(Core::TimePoint aNow)
 {
   mStoreCallStartedAt = aNow;
+  mIsSubstituting = isUnconfirmedFollower(aNow);
   mIsCallStale = false;
 }
 
-void
+std::vector<OutgoingMessage>
 MapFollowing::endStoreCall(bool aIsAnswered, Core::TimePoint aNow)
 {
+  const bool wasConfirmed = isConfirmed(aNow);
   mStoreCallStartedAt.reset();
-  mHasStoreAnswered = aIsAnswered;
   mStoreFailedAt = aIsAnswered ? Core::TimePoint{} : aNow;
-  if (aIsAnswered) {
-    mHasSlept = false;
-    mConfirmedAt = aNow;
+  if (!aIsAnswered) {
+    return {};
+  }
+  mHasSlept = false;
+  mConfirmedAt = aNow;
+  if (mIsSubstituting) {
+    mSubstituteUntil = aNow + kSubstituteTime;
   }
+  return wasConfirmed ? std::vector<OutgoingMessage>{} : announce(aNow);
 }
 
 void
 MapFollowing::cancelStoreCall()
 {
   mStoreCallStartedAt.reset();
-  mHasStoreAnswered = false;
 }
 
 void
@@ -119,7 +124,6 @@
 MapFollowing::detectSleep(Core::TimePoint aNow)
 {
   if (aNow - mLastTickAt > kSleepLimit) {
-    mHasStoreAnswered = false;
     mIsCallStale = true;
     mHasSlept = true;
     mLastTickAt = aNow;
@@ -212,11 +216,9 @@
 std::chrono::milliseconds
 MapFollowing::confirmedAge(Core::TimePoint aNow) const
 {
-  return isStoreWatched()
-           ? std::chrono::milliseconds(0)
-           : std::min(MemberMessage::kMaxAge,
-                      std::chrono::duration_cast<std::chrono::milliseconds>(
-                        aNow - mConfirmedAt));
+  return std::min(
+    MemberMessage::kMaxAge,
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - mConfirmedAt));
 }
 
 bool
@@ -240,16 +242,24 @@
   if (mHasSlept) {
     return true;
   }
+  const bool hasFailed = mStoreFailedAt != Core::TimePoint{};
   const bool isJoining = aNow - mStartedAt < kJoinTime;
   const bool hasSource = !mMembers.subscriptions().empty();
   if (isJoining || (!mMembers.isReader() && hasSource)) {
-    return confirmedAge(aNow) >= patience();
+    const bool isSubstitute = !hasFailed && aNow < mSubstituteUntil;
+    return isSubstitute || confirmedAge(aNow) >= patience();
   }
-  const bool hasFailed = mStoreFailedAt != Core::TimePoint{};
   return !hasFailed || !isConfirmed(aNow) ||
          aNow - mStoreFailedAt >= kConfirmedRetryInterval;
 }
 
+bool
+MapFollowing::isUnconfirmedFollower(Core::TimePoint aNow) const
+{
+  return !mHasSlept && aNow - mStartedAt >= kJoinTime && !mMembers.isReader() &&
+         confirmedAge(aNow) >= patience();
+}
+
 /** How long a follower waits for a confirmation. */
 std::chrono::milliseconds
 MapFollowing::patience() const
--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -48,13 +48,26 @@
 {
 public:
   static constexpr std::chrono::milliseconds kInterval{ 400 };
+  /**
+   * How long a call waits at the store for the next change. Only an answer
+   * confirms the map: a call may never be answered although its connection
+   * stays open, and then ends soon after this time.
+   */
+  static constexpr std::chrono::milliseconds kStoreWaitTime{ 1'000 };
   /**
    * A follower without a confirmation for this time calls the store, the later
-   * the higher its rank: the first ones may confirm the others.
+   * the higher its rank: the first ones may confirm the others. Between two
+   * answers of the store, up to three messages may be lost.
    */
-  static constexpr std::chrono::milliseconds kConfirmationTimeout{ 1'200 };
+  static constexpr std::chrono::milliseconds kConfirmationTimeout =
+    kStoreWaitTime + 3 * kInterval;
   static constexpr std::chrono::milliseconds kDelayPerRank{ 100 };
   static constexpr std::size_t kMaxDelayedRanks = 12;
+  /**
+   * A follower whose call was answered goes on calling the store for this time,
+   * so that the others are confirmed while the readers cannot reach it.
+   */
+  static constexpr std::chrono::milliseconds kSubstituteTime{ 10'000 };
   /** A reader prefers the store's answer to a peer's map for this time. */
   static constexpr std::chrono::milliseconds kReaderFetchDelay{ 300 };
   /** Interval of a reader's calls that fail while peers confirm its map. */
@@ -87,7 +100,9 @@
     Core::TimePoint aNow);
   /** A call of the store begins, which may wait for the next change. */
   void beginStoreCall(Core::TimePoint aNow);
-  void endStoreCall(bool aIsAnswered, Core::TimePoint aNow);
+  /** Returns the messages to send at once. */
+  std::vector<OutgoingMessage> endStoreCall(bool aIsAnswered,
+                                            Core::TimePoint aNow);
   /** The call was given up, which says nothing about the store. */
   void cancelStoreCall();
   /** Messages that arrive from now on may announce a newer map. */
@@ -98,7 +113,10 @@
   /** Whether a call that waits for the store should be given up. */
   bool shouldEndStoreCall(Core::TimePoint aNow) const;
   /** Whether the next call of the store should be answered without a wait. */
-  bool needsStoreAnswer() const { return mHasSlept; }
+  bool needsStoreAnswer(Core::TimePoint aNow) const
+  {
+    return mHasSlept || !isConfirmed(aNow);
+  }
   /** When the store was last known to have no newer map. */
   Core::TimePoint confirmedAt(Core::TimePoint aNow) const
   {
@@ -119,8 +137,6 @@
 
   void detectSleep(Core::TimePoint aNow);
   Core::TimePoint arrivalTime(Core::TimePoint aNow) const;
-  /** A call waits for the next change, and the one before was answered. */
-  bool isStoreWatched() const { return isCallingStore() && mHasStoreAnswered; }
   bool isCallingStore() const { return mStoreCallStartedAt.has_value(); }
   MemberMessage createMessage(Core::TimePoint aNow) const;
   std::vector<OutgoingMessage> createMessages(
@@ -131,6 +147,8 @@
   bool isConfirmed(Core::TimePoint aNow) const;
   bool isFetchDue(Core::TimePoint aNow) const;
   bool isStoreCallDue(Core::TimePoint aNow) const;
+  /** Whether this process is a follower that was not confirmed in time. */
+  bool isUnconfirmedFollower(Core::TimePoint aNow) const;
   std::chrono::milliseconds patience() const;
 
   MemberTable mMembers;
@@ -141,7 +159,10 @@
   std::optional<Core::TimePoint> mStoreCallStartedAt;
   /** The process slept during the call, so that its connection may be dead. */
   bool mIsCallStale = false;
-  bool mHasStoreAnswered = false;
+  /** The current call was made because nobody confirmed the map. */
+  bool mIsSubstituting = false;
+  /** Until then this process calls the store like a reader. */
+  Core::TimePoint mSubstituteUntil{};
   /** Null unless the last call failed. */
   Core::TimePoint mStoreFailedAt{};
   /** A newer map that a peer has. */
--- a/tests/auto/membership/mapdistribution.cpp
+++ b/tests/auto/membership/mapdistribution.cpp
@@ -15,7 +15,6 @@
 constexpr std::chrono::milliseconds kInZoneDelay{ 1 };
 constexpr std::chrono::milliseconds kCrossZoneDelay{ 5 };
 constexpr std::chrono::milliseconds kStoreDelay{ 4 };
-constexpr std::chrono::milliseconds kWatchWaitTime{ 20'000 };
 /** A call that is not answered ends this long after its wait time. */
 constexpr std::chrono::milliseconds kWatchTimeoutMargin{ 600 };
 /** Time in which keep-alive probes detect a silent connection. */
@@ -24,7 +23,7 @@
 constexpr std::chrono::milliseconds kStoreTimeout{ 150 };
 /** Pause after an answer with changes, of the store or of a peer. */
 constexpr std::chrono::milliseconds kWatchDelay{ 400 };
-constexpr std::chrono::milliseconds kShortWaitTime{ 100 };
+constexpr std::chrono::milliseconds kShortWaitTime{ 50 };
 constexpr std::chrono::milliseconds kRetryDelay{ 300 };
 constexpr std::chrono::milliseconds kStartSpread{ 300 };
 constexpr std::size_t kSeedCount = 3;
@@ -359,9 +358,9 @@
   process.following->beginStoreCall(mNow);
   const bool isBehind = process.knownChange < mChange;
   const auto waitTime =
-    process.following->needsStoreAnswer() || process.hasStoreFailed
+    process.following->needsStoreAnswer(mNow) || process.hasStoreFailed
       ? kShortWaitTime
-      : kWatchWaitTime;
+      : Membership::MapFollowing::kStoreWaitTime;
   auto duration = isBehind ? kStoreDelay : waitTime;
   if (process.isCallLost) {
     duration = waitTime + kWatchTimeoutMargin;
@@ -382,7 +381,7 @@
   auto& process = *mProcesses[aProcess];
   process.isCallingStore = false;
   process.hasStoreFailed = !aIsAnswered;
-  process.following->endStoreCall(aIsAnswered, mNow);
+  send(aProcess, process.following->endStoreCall(aIsAnswered, mNow));
   if (aIsAnswered) {
     const bool hasChanged =
       process.knownChange != 0 && process.knownChange < mChange;
--- a/tests/auto/membership/tst_mapdistribution.cpp
+++ b/tests/auto/membership/tst_mapdistribution.cpp
@@ -213,9 +213,7 @@
   CHECK(fleet.storeCallCount() - callsBefore < 100);
 }
 
-TEST_CASE(
-  "changes are in force in time after the store was silent for a while" *
-  doctest::may_fail())
+TEST_CASE("changes are in force in time after the store was silent for a while")
 {
   for (const std::size_t count : { 1U, 10U, 59U }) {
     for (const auto silence : { 500ms, 3'000ms, 6'000ms }) {
--- a/tests/auto/membership/tst_mapfollowing.cpp
+++ b/tests/auto/membership/tst_mapfollowing.cpp
@@ -92,7 +92,7 @@
   f.now += kLate;
   f.hearReaders();
   f.advance(0ms);
-  CHECK_FALSE(f.following.needsStoreAnswer());
+  CHECK_FALSE(f.following.needsStoreAnswer(f.now));
   const auto sentAt = f.now - kLate + MapFollowing::kInterval;
   const auto patience =
     MapFollowing::kConfirmationTimeout + 4 * MapFollowing::kDelayPerRank;
@@ -112,8 +112,7 @@
 }
 
 TEST_CASE("a call of the store that waits without an answer does not confirm "
-          "the map" *
-          doctest::may_fail())
+          "the map")
 {
   auto now = Core::TimePoint(1'000s);
   MapFollowing following(MemberTable(1, kZone, 1), now);
--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -384,8 +384,7 @@
 }
 
 TEST_CASE("changes are in force in time after the store left a call that waits "
-          "unanswered" *
-          doctest::may_fail())
+          "unanswered")
 {
   Fixture f;
   f.startFollower();
