--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -416,3 +416,26 @@
   REQUIRE(peer.readPeer({}, 5s).ok());
   CHECK_FALSE(peer.isConnected());
 }
+
+TEST_CASE("keys of other writers do not break the paging of the store")
+{
+  Standins::PlatformStore store;
+  store.setPageSize(1);
+  store.put("op/config", configurationText(1));
+  for (const auto* key : { "servers/a b",
+                           "servers/a&after=zzz",
+                           "servers/a#b",
+                           "servers/a%41",
+                           "servers/a+b",
+                           "servers/a?b",
+                           "servers/\xc3\xa9" }) {
+    store.put(key, "{}");
+  }
+  store.put("servers/z", announcementText("10.0.0.1"));
+  constexpr std::size_t kItemCount = 9;
+  Platform::StoreClient client(store.endpoint());
+  const auto answer = client.readAll("", 0, 5s);
+  REQUIRE(answer.ok());
+  CHECK(answer->items.size() == kItemCount);
+  CHECK(store.callCount() == kItemCount);
+}
