Config: Skip odd entries of the instance list and survive nested texts

One odd entry in the platform's instance list kept every process of the native interface at its previous list; a text nested more than 1,000 deep, from the service, a peer or the operator, ended the process. lacewingctl stopped at a log line or a status page of another program.

Cause: an error in any entry rejected the whole list, and the JSON reader throws for nested values.

Change: an entry that cannot be read is skipped with event 205, and an instance that was known under its name stays where it was; a list without any readable entry is rejected as before. JsonSource, the flow trace and lacewingctl turn exceptions of the reader into errors.

--- a/src/lacewingctl/processcommands.cpp
+++ b/src/lacewingctl/processcommands.cpp
@@ -73,8 +73,15 @@
       continue;
     }
     pages.append(*page);
-    if (aCommandLine.options.count("json") == 0) {
+    if (aCommandLine.options.count("json") > 0) {
+      continue;
+    }
+    try {
       aPrintPage(*page);
+    } catch (const Json::Exception& error) {
+      std::cerr << "print " << aPath << ": " << endpoint << ": " << error.what()
+                << "\n";
+      exitCode = kAccessFailed;
     }
   }
   if (aCommandLine.options.count("json") > 0) {
--- a/src/lacewingctl/processpage.cpp
+++ b/src/lacewingctl/processpage.cpp
@@ -8,6 +8,7 @@
 #include <json/reader.h>
 
 #include <chrono>
+#include <memory>
 
 namespace {
 
@@ -33,10 +34,22 @@
     return Core::withContext(
       absl::UnavailableError("no successful HTTP reply"), step, aEndpoint);
   }
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  const auto& body = result->body;
   Json::Value page;
-  if (!Json::Reader().parse(result->body, page)) {
-    return Core::withContext(
-      absl::DataLossError("the reply is not valid JSON"), step, aEndpoint);
+  std::string errors;
+  try {
+    if (reader->parse(body.data(), body.data() + body.size(), &page, &errors) &&
+        (page.isObject() || page.isArray())) {
+      return page;
+    }
+  } catch (const Json::Exception& error) {
+    // The reader throws if values are nested too deeply.
+    errors = error.what();
   }
-  return page;
+  return Core::withContext(
+    absl::DataLossError(absl::StrCat("the reply is not a page: ", errors)),
+    step,
+    aEndpoint);
 }
--- a/src/libs/config/instancelist.cpp
+++ b/src/libs/config/instancelist.cpp
@@ -2,6 +2,8 @@
 
 #include "config/jsonreader.h"
 
+#include <utility>
+
 namespace Config {
 
 namespace {
@@ -38,14 +40,24 @@
   InstanceList list;
   ObjectReader reader(source, root, {});
   const auto& instances = reader.array("instances");
-  for (Json::ArrayIndex i = 0; i < instances.size(); ++i) {
-    list.instances.push_back(
-      readInstance(source, instances[i], reader.path("instances", i)));
-  }
   reader.finish();
   if (!source.errors().empty()) {
     return toStatus(source.errors());
   }
+  for (Json::ArrayIndex i = 0; i < instances.size(); ++i) {
+    auto instance =
+      readInstance(source, instances[i], reader.path("instances", i));
+    const auto errors = source.takeErrors();
+    if (errors.empty()) {
+      list.instances.push_back(std::move(instance));
+    } else {
+      list.unreadable.push_back(
+        { instance.name, std::string(toStatus(errors).message()) });
+    }
+  }
+  if (list.instances.empty() && !list.unreadable.empty()) {
+    return absl::DataLossError(list.unreadable.front().error);
+  }
   return list;
 }
 
--- a/src/libs/config/instancelist.h
+++ b/src/libs/config/instancelist.h
@@ -28,12 +28,24 @@
   bool leaving = false;
 };
 
+/** An entry that does not have the documented format. */
+struct UnreadableInstance
+{
+  /** Empty if not even the name can be read. */
+  std::string name;
+  std::string error;
+};
+
 struct InstanceList
 {
   std::vector<Instance> instances;
+  std::vector<UnreadableInstance> unreadable;
 };
 
-/** Parses the JSON instance list. aFile is the file name in errors. */
+/**
+ * Parses the JSON instance list. aFile is the file name in errors. An error if
+ * no entry of a list can be read.
+ */
 absl::StatusOr<InstanceList>
 parseInstanceList(const std::string& aFile, const std::string& aText);
 
--- a/src/libs/config/jsonreader.cpp
+++ b/src/libs/config/jsonreader.cpp
@@ -74,12 +74,17 @@
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value root;
   std::string parserMessages;
-  if (!reader->parse(
-        mText.data(), mText.data() + mText.size(), &root, &parserMessages)) {
+  try {
+    if (reader->parse(
+          mText.data(), mText.data() + mText.size(), &root, &parserMessages)) {
+      return root;
+    }
     addSyntaxErrors(parserMessages);
-    return {};
+  } catch (const Json::Exception& error) {
+    // The reader throws if values are nested too deeply.
+    mErrors.push_back({ mFile, 1, 1, "", error.what() });
   }
-  return root;
+  return {};
 }
 
 void
--- a/src/libs/config/jsonreader.h
+++ b/src/libs/config/jsonreader.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace Config {
 
@@ -28,6 +29,8 @@
                 const JsonPath& aPath,
                 const std::string& aMessage);
   const Diagnostics& errors() const { return mErrors; }
+  /** Removes and returns the errors so far. */
+  Diagnostics takeErrors() { return std::exchange(mErrors, {}); }
 
 private:
   void addSyntaxErrors(const std::string& aParserMessages);
--- a/src/libs/control/viewstore.cpp
+++ b/src/libs/control/viewstore.cpp
@@ -170,6 +170,19 @@
   d->listIndex = aIndex;
   d->listDigest = Config::digestOf(*text);
   d->listHistory.add(d->listDigest, *text);
+  for (const auto& entry : parsed->unreadable) {
+    d->events.write(Telemetry::Event::InstanceListRefused,
+                    absl::StrCat("skipped an entry: ", entry.error));
+    // The instance may run on, with open flows.
+    const auto& known = d->instances.instances;
+    const auto it =
+      std::find_if(known.begin(), known.end(), [&](const auto& aInstance) {
+        return aInstance.name == entry.name;
+      });
+    if (it != known.end()) {
+      parsed->instances.push_back(*it);
+    }
+  }
   d->instances = std::move(*parsed);
   d->rebuildView();
   return absl::OkStatus();
--- a/src/libs/telemetry/flowtrace.cpp
+++ b/src/libs/telemetry/flowtrace.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <json/reader.h>
 #include <json/value.h>
+#include <json/writer.h>
 
 #include <algorithm>
 #include <memory>
@@ -22,6 +23,18 @@
          aName == "event";
 }
 
+/** Strings without quotes, other values as JSON. */
+std::string
+textOf(const Json::Value& aValue)
+{
+  if (aValue.isString()) {
+    return aValue.asString();
+  }
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
 bool
 parseLine(const std::string& aLine, Json::Value& aObject)
 {
@@ -31,20 +44,27 @@
   }
   static const Json::CharReaderBuilder sBuilder;
   const std::unique_ptr<Json::CharReader> reader(sBuilder.newCharReader());
-  return reader->parse(aLine.data() + begin,
-                       aLine.data() + aLine.size(),
-                       &aObject,
-                       nullptr) &&
-         aObject.isObject() && aObject["event"].isString();
+  try {
+    return reader->parse(aLine.data() + begin,
+                         aLine.data() + aLine.size(),
+                         &aObject,
+                         nullptr) &&
+           aObject.isObject() && aObject["event"].isString();
+  } catch (const Json::Exception&) {
+    // The reader throws if values are nested too deeply.
+    return false;
+  }
 }
 
 TraceLine
 toTraceLine(const Json::Value& aObject)
 {
   TraceLine line;
-  line.time = aObject["time"].asInt64();
-  line.process = aObject["process"].asString();
-  line.number = aObject["number"].asInt();
+  const auto& time = aObject["time"];
+  const auto& number = aObject["number"];
+  line.time = time.isInt64() ? time.asInt64() : 0;
+  line.process = textOf(aObject["process"]);
+  line.number = number.isInt() ? number.asInt() : 0;
   line.event = aObject["event"].asString();
   for (const auto& name : aObject.getMemberNames()) {
     if (!isCommonMember(name)) {
@@ -52,7 +72,7 @@
                       line.fields.empty() ? "" : " ",
                       name,
                       "=",
-                      aObject[name].asString());
+                      textOf(aObject[name]));
     }
   }
   return line;
@@ -105,8 +125,7 @@
       ++mTrace.unreadableLines;
       continue;
     }
-    if (object["flow"].asString() == mFlow ||
-        object["caller"].asString() == mFlow) {
+    if (textOf(object["flow"]) == mFlow || textOf(object["caller"]) == mFlow) {
       mTrace.lines.push_back(toTraceLine(object));
     }
   }
--- a/tests/auto/config/tst_config.cpp
+++ b/tests/auto/config/tst_config.cpp
@@ -161,6 +161,42 @@
                 .ok());
 }
 
+TEST_CASE("an odd instance of another writer does not hide the others")
+{
+  const std::string valid =
+    R"({"name":"a","role":"target","zone":"z","data":"127.0.0.1:1",)"
+    R"("control":"127.0.0.1:2","state":"live"})";
+  std::string odd;
+  SUBCASE("no object")
+  {
+    odd = "[[7]]";
+  }
+  SUBCASE("a port out of range")
+  {
+    odd = absl::StrReplaceAll(valid, { { ":2", ":65536" } });
+  }
+  SUBCASE("a number that no type holds")
+  {
+    odd = absl::StrReplaceAll(valid, { { R"("z")", "1e300" } });
+  }
+  const auto list =
+    parseInstanceList("p", R"({"instances":[)" + odd + "," + valid + "]}");
+  REQUIRE(list.ok());
+  REQUIRE(list->instances.size() == 1);
+  CHECK(list->instances[0].name == "a");
+  REQUIRE(list->unreadable.size() == 1);
+  CHECK(list->unreadable[0].error.find("instances[0]") != std::string::npos);
+}
+
+TEST_CASE("a text that is nested beyond the limit of the parser is an error")
+{
+  const std::string nested(1'001, '[');
+  CHECK_FALSE(parseInstanceList("p", nested).ok());
+  CHECK_FALSE(parseInstanceList("p", R"({"instances":[)" + nested).ok());
+  CHECK_FALSE(parseDocumentOrStatus("d", nested).ok());
+  CHECK(std::holds_alternative<Diagnostics>(parseAgentSettings("f", nested)));
+}
+
 TEST_CASE("an evacuation of an unknown zone is an error of the document")
 {
   const auto errorsWith = [](const std::string& aList) {
--- a/tests/auto/control/tst_control.cpp
+++ b/tests/auto/control/tst_control.cpp
@@ -144,6 +144,25 @@
   CHECK(store.state().digest == digest);
 }
 
+TEST_CASE("an instance whose entry became odd stays where it was")
+{
+  const auto list = [](const std::string& aState) {
+    return R"({"instances":[{"name":"a","role":"target","zone":"z",)"
+           R"("data":"127.0.0.1:1","control":"127.0.0.1:2","state":")" +
+           aState +
+           R"("},{"name":"b","role":"target","zone":"z",)"
+           R"("data":"127.0.0.1:3","control":"127.0.0.1:4","state":"live"}]})";
+  };
+  ViewStore store(disabledLog());
+  REQUIRE(store.updateInstanceList(list("live"), 1, "test").ok());
+  REQUIRE(store.updateInstanceList(list("confused"), 2, "test").ok());
+  CHECK(store.instances().instances.size() == 2);
+  REQUIRE(store.updateInstanceList(list("leaving"), 3, "test").ok());
+  const auto instances = store.instances().instances;
+  REQUIRE(instances.size() == 2);
+  CHECK(instances[0].leaving);
+}
+
 TEST_CASE("other content under the current revision is rejected")
 {
   ViewStore store(disabledLog());
--- a/tests/auto/telemetry/tst_telemetry.cpp
+++ b/tests/auto/telemetry/tst_telemetry.cpp
@@ -159,6 +159,24 @@
   CHECK(dropped > 0);
 }
 
+TEST_CASE("lines of other programs do not end a flow trace")
+{
+  std::istringstream log(
+    "{\"event\":\"e\",\"flow\":\"ab\",\"time\":\"noon\",\"number\":1e300,"
+    "\"process\":[],\"detail\":{\"a\":[1]}}\n"
+    "{\"event\":\"e\",\"flow\":{\"x\":1},\"caller\":[\"ab\"]}\n" +
+    std::string(2'000, '[') + "{" + std::string(2'000, '[') +
+    "\n"
+    "{\"event\":\"e\",\"flow\":\"ab\",\"a\":" +
+    std::string(2'000, '[') + "\n");
+  FlowTraceReader reader("ab");
+  reader.read(log);
+  const auto trace = reader.flowTrace();
+  REQUIRE(trace.lines.size() == 1);
+  CHECK(trace.lines[0].fields == "detail={\"a\":[1]} flow=ab");
+  CHECK(trace.unreadableLines == 2);
+}
+
 TEST_CASE("a flow trace is merged from several logs")
 {
   std::istringstream balancer(
