Platform: Refuse settings beyond what their types hold

bounds.gracePeriodS = 1e300 and limits.linkMbps = 1e300 or nan were converted without a limit, which is undefined. They are errors now, named like the others (tst_nodesettings; the new values were accepted before).

--- a/tests/auto/platform/tst_nodesettings.cpp
+++ b/tests/auto/platform/tst_nodesettings.cpp
@@ -1,5 +1,6 @@
 #include "platform/nodesettings.h"
 
+#include <absl/strings/str_replace.h>
 #include <doctest/doctest.h>
 
 #include <string>
@@ -70,7 +71,7 @@
   CHECK(parse(kBalancer)->linkRate == Steering::LinkBudget::kDefaultLinkRate);
   CHECK(parse(kBalancer + "[limits]\nlinkMbps = 20.5\n")->linkRate ==
         2'562'500);
-  for (const auto* value : { "0", "-1.0", "\"fast\"" }) {
+  for (const auto* value : { "0", "-1.0", "\"fast\"", "1e300", "nan" }) {
     const auto settings =
       parse(kBalancer + "[limits]\nlinkMbps = " + value + "\n");
     REQUIRE_FALSE(settings.ok());
@@ -127,6 +128,9 @@
         "node.toml: internalPorts[0]: expected a number from 1 to 65535");
   CHECK(errorFor(withoutLine(kBalancer, "gracePeriodS")) ==
         "node.toml: bounds.gracePeriodS: expected a number of seconds above 0");
+  CHECK(
+    errorFor(absl::StrReplaceAll(kBalancer, { { "S = 6", "S = 1e300" } })) ==
+    "node.toml: bounds.gracePeriodS: expected a number of seconds above 0");
   CHECK(errorFor("nodeName = ").find("node.toml:1: ") == 0);
 }
 
