Steering: Send searched packets to the agent that started last first

Cause: in the first 30 s of a fleet no agent has its full history, so all reply that they may own a flow. A search sends one packet to one after the other, in search order; on the full link of a narrow balancer each step takes 0.7 to 0.9 s, and the owner, the only one whose agent had been restarted, came fourth to seventh.

Change: agents report for how long they have run, and a search prefers the one that started last. Agents that started within a second of each other keep the search order, and an agent of an earlier version, which reports nothing, counts as old.

The new case of tst_steering failed before in four of six choices.

Ruled out: the zone's evacuation and a suspended owner; t1 and its agent ran all the while.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -1002,7 +1002,9 @@
     load.lateRequests = toUint16(mQueue.openCount() - onTime);
     load.longLivedFlows = toUint16(mFlows.longLivedFlows());
     load.serviceTime = mFlows.reportedServiceTime();
-    load.hasFullHistory = aNow - mStartedAt >= TargetFlowTable::kIdleTimeout;
+    load.history =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - mStartedAt);
+    load.hasFullHistory = load.history >= TargetFlowTable::kIdleTimeout;
     load.isUnavailable = mIsDraining || mEvacuation.isEvacuated() ||
                          mUnansweredSyns >= kUnresponsiveThreshold ||
                          mOutliers.isDown();
--- a/src/libs/steering/agentmessage.cpp
+++ b/src/libs/steering/agentmessage.cpp
@@ -104,6 +104,7 @@
   Packet::store16(aData + 4, aLoad.longLivedFlows);
   Packet::store16(aData + 6, toWireMilliseconds(aLoad.serviceTime));
   Packet::store16(aData + 8, aLoad.slowStartBudget);
+  Packet::store16(aData + 10, toWireMilliseconds(aLoad.history));
 }
 
 void
@@ -114,6 +115,7 @@
   aLoad.longLivedFlows = Packet::load16(aData + 4);
   aLoad.serviceTime = std::chrono::milliseconds(Packet::load16(aData + 6));
   aLoad.slowStartBudget = Packet::load16(aData + 8);
+  aLoad.history = std::chrono::milliseconds(Packet::load16(aData + 10));
 }
 
 void
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -104,6 +104,11 @@
    * open flows.
    */
   bool hasFullHistory = false;
+  /**
+   * For how long the agent has seen all packets of its backend server. It may
+   * not know older flows. 0 if it was not told, as by earlier versions.
+   */
+  std::chrono::milliseconds history{ 0 };
   /**
    * Requests that the cold backend server may still take now;
    * kNoSlowStartLimit if it takes any number.
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -52,6 +52,14 @@
    * changes.
    */
   static constexpr std::chrono::milliseconds kSecondSearchDelay{ 800 };
+  /**
+   * Of the agents that may own a flow, the one that started last has missed
+   * most flows. Those that started within this time of each other are equal.
+   */
+  static constexpr std::chrono::milliseconds kSameStartTime{ 1'000 };
+  /** Stands for an agent that does not tell for how long it has run. */
+  static constexpr std::chrono::milliseconds kUnknownHistory =
+    std::chrono::hours(1);
 
   explicit OwnerSearch(SteererContext<Format, Output>& aContext)
     : mContext(aContext)
@@ -508,6 +516,7 @@
       searchOrder(*mContext.map, aRoute, mContext.config.zone, flowHash(aFlow));
     Candidates candidates;
     candidates.haveAllRejected = !order.empty();
+    auto shortestHistory = kUnknownHistory;
     for (const auto* target : order) {
       const auto& agent = target->agent;
       const bool isSuspected = mContext.loads.isSuspected(agent, aNow);
@@ -523,8 +532,12 @@
       candidates.isAnyLeft = true;
       const bool isUncertain = aSearch.uncertainAgents.contains(agent);
       candidates.isReplyMissing |= !isUncertain && !isSuspected;
-      if (candidates.next == nullptr && isUncertain && !isSuspected) {
+      const auto history = historyOf(agent);
+      const bool isLikelier = candidates.next == nullptr ||
+                              history + kSameStartTime < shortestHistory;
+      if (isUncertain && !isSuspected && isLikelier) {
         candidates.next = target;
+        shortestHistory = history;
       }
     }
     if (candidates.isReplyMissing &&
@@ -534,6 +547,14 @@
     return candidates;
   }
 
+  /** For how long an agent has known the flows of its backend server. */
+  std::chrono::milliseconds historyOf(const Core::Endpoint& aAgent) const
+  {
+    const auto history = mContext.loads.find(aAgent).reported.history;
+    return history == std::chrono::milliseconds::zero() ? kUnknownHistory
+                                                        : history;
+  }
+
   /**
    * Ends a search without agents left to try. Resets the flow if it certainly
    * has no owner.
--- a/tests/auto/steering/tst_agentmessage.cpp
+++ b/tests/auto/steering/tst_agentmessage.cpp
@@ -75,6 +75,7 @@
   message.load = { 5, 3, 41, 55ms, true };
   message.load.slowStartBudget = 9;
   message.load.isEjected = true;
+  message.load.history = 12'345ms;
   message.sendTime = Steering::SendTime(7);
   const auto parsed = roundTrip(message);
   CHECK(parsed.kind == Steering::MessageKind::Reject);
@@ -85,6 +86,7 @@
   CHECK(parsed.load.longLivedFlows == 41);
   CHECK(parsed.load.serviceTime == 55ms);
   CHECK(parsed.load.slowStartBudget == 9);
+  CHECK(parsed.load.history == 12'345ms);
   CHECK(parsed.load.isUnavailable);
   CHECK(parsed.load.isEjected);
   CHECK_FALSE(parsed.load.hasFullHistory);
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -231,6 +231,7 @@
     message.kind = aKind;
     message.sendTime = output.lastSendTimes[aFrom];
     message.load.hasFullHistory = fullHistoryAgents.contains(aFrom);
+    message.load.history = histories[aFrom];
     message.load.slowStartBudget = slowStartBudget;
     return message;
   }
@@ -303,6 +304,8 @@
   bool hasPriorities = false;
   std::set<Core::Endpoint> silentAgents;
   std::set<Core::Endpoint> fullHistoryAgents;
+  /** For how long the agents have run; 0 if they do not tell. */
+  std::map<Core::Endpoint, std::chrono::milliseconds> histories;
   /** The targets that are cold in the next map, with a limit of 20. */
   std::set<std::uint8_t> coldTargets;
   /** In all messages of agents. */
@@ -1469,3 +1472,40 @@
   CHECK(f.output.toAgents.size() == 4);
   CHECK(f.lastForwardedTo() == Fixture::agent(3));
 }
+
+// Guards against packets that reach other targets for seconds, while the agent
+// of their own one is the only one that was restarted.
+TEST_CASE("a packet of an unknown flow goes first to the agent that was "
+          "restarted last")
+{
+  auto othersHistory = 20'000ms;
+  SUBCASE("while the others tell for how long they have run") {}
+  SUBCASE("while the others are of an earlier version and do not tell")
+  {
+    othersHistory = 0ms;
+  }
+  for (std::uint8_t restarted = 1; restarted <= 3; ++restarted) {
+    CAPTURE(restarted);
+    Fixture f;
+    for (std::uint8_t i = 1; i <= 3; ++i) {
+      f.histories[Fixture::agent(i)] = i == restarted ? 4'000ms : othersHistory;
+    }
+    f.searchByForwarding(1);
+    CHECK(f.lastForwardedTo() == Fixture::agent(restarted));
+  }
+}
+
+TEST_CASE("agents that started together get a packet of an unknown flow in "
+          "search order")
+{
+  Fixture reference;
+  reference.searchByForwarding(1);
+  for (std::uint8_t last = 1; last <= 3; ++last) {
+    Fixture f;
+    for (std::uint8_t i = 1; i <= 3; ++i) {
+      f.histories[Fixture::agent(i)] = i == last ? 4'000ms : 4'300ms;
+    }
+    f.searchByForwarding(1);
+    CHECK(f.lastForwardedTo() == reference.lastForwardedTo());
+  }
+}
