Steering: Repeat the probe that tells an agent of its zone's evacuation

Cause: a balancer tells the agents of a zone once, in a single datagram, and sends them nothing else from then on. The datagram was lost, and the only other balancer had not heard of the evacuation.

Change: the probe is repeated after 250 and 500 ms unless a message of the agent shows that it received one.

--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -2,6 +2,7 @@
 
 #include "steering/flowplacement.h"
 #include "steering/ownersearch.h"
+#include "steering/pendingnotices.h"
 #include "steering/steerercontext.h"
 #include "steering/steererreport.h"
 
@@ -112,6 +113,7 @@
     if (mContext.replies.recordReply(message->sendTime, aNow)) {
       mReport.recordReplyTime(mContext.replies.lastReplyTime());
     }
+    mZoneNotices.confirm(aFrom, message->sendTime);
     mContext.loads.recordReport(aFrom, message->load, aNow);
     mContext.newestReportedRevision =
       std::max(mContext.newestReportedRevision, message->mapRevision);
@@ -157,6 +159,7 @@
       mContext.sendProbe(agent);
     }
     probeForEvidence(aNow);
+    repeatZoneNotices(aNow);
     mContext.flowCache.expire(aNow);
     mReport.tick({ mOwnerSearch.searchCount(),
                    mPlacement.pendingCount(),
@@ -177,7 +180,7 @@
     if (mContext.replies.isEvidenceMissing()) {
       return evidenceProbeInterval(mContext.now);
     }
-    if (mContext.loads.overdueCount() > 0) {
+    if (mContext.loads.overdueCount() > 0 || !mZoneNotices.isEmpty()) {
       return AgentLoadTable::kProbeInterval;
     }
     return std::nullopt;
@@ -261,11 +264,22 @@
         const bool wasEvacuated = before != nullptr && before->isZoneEvacuated;
         if (target.isZoneEvacuated != wasEvacuated && !target.isGone(aNow)) {
           mContext.sendProbe(target.agent);
+          mZoneNotices.add(target.agent, aNow);
         }
       }
     }
   }
 
+  /** The probes of probeChangedZones() may be lost. */
+  void repeatZoneNotices(Core::TimePoint aNow)
+  {
+    for (const auto& agent : mZoneNotices.takeDue(aNow)) {
+      if (mContext.map->findTarget(agent) != nullptr) {
+        mContext.sendProbe(agent);
+      }
+    }
+  }
+
   void logEvacuations(const FleetMap& aBefore)
   {
     const auto write = [this](Telemetry::Event aEvent,
@@ -423,6 +437,7 @@
   OwnerSearch<Format, Output> mOwnerSearch;
   SteererReport mReport;
   Core::TimePoint mLastEvidenceProbeAt{};
+  PendingNotices mZoneNotices;
   std::size_t mProbedAgentCount = 0;
 };
 
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -1310,6 +1310,33 @@
 }
 
 // An agent that has not heard of the evacuation would accept a SYN.
+TEST_CASE("an agent whose probe about its zone was lost is probed again")
+{
+  Fixture f;
+  f.output.toAgents.clear();
+  f.now += 1s;
+  f.setTargets({ 1, 2, 3 }, 2, 1, { "z1" });
+  REQUIRE(f.output.toAgents.size() == 2);
+  f.output.toAgents.clear();
+  f.now += 5ms;
+  f.sendReport(Fixture::agent(2), 0);
+  // Sent before the probe was received.
+  f.output.lastSendTimes[Fixture::agent(1)] -= Steering::SendTime(1);
+  f.sendReport(Fixture::agent(1), 0);
+  REQUIRE(f.steerer.timeUntilTick().has_value());
+  for (int i = 0; i < 20; ++i) {
+    f.now += 100ms;
+    f.steerer.tick(f.now);
+  }
+  REQUIRE(f.output.toAgents.size() == 2);
+  for (const auto& sent : f.output.toAgents) {
+    CHECK(sent.to == Fixture::agent(1));
+    CHECK(sent.message.kind == MessageKind::Probe);
+    CHECK(sent.message.isZoneEvacuated);
+  }
+  CHECK_FALSE(f.steerer.timeUntilTick().has_value());
+}
+
 TEST_CASE("a balancer sends no new flow to an evacuated zone")
 {
   Fixture f;
