--- a/tests/auto/platform/tst_storewatch.cpp
+++ b/tests/auto/platform/tst_storewatch.cpp
@@ -389,7 +389,7 @@
   Fixture f;
   f.startFollower();
   f.store.setSilent(true);
-  // If a watch waits already, this is its answer; the next one gets none.
+  // The watch that waits for it gets no answer.
   f.store.put("op/config", configurationText(2));
   std::this_thread::sleep_for(1s);
   f.store.setSilent(false);
--- a/tests/standins/platformstore.cpp
+++ b/tests/standins/platformstore.cpp
@@ -22,7 +22,8 @@
 namespace {
 
 constexpr const char* kAddress = "127.0.0.1";
-constexpr std::size_t kThreadCount = 24;
+/** Calls that get no answer occupy a thread each. */
+constexpr std::size_t kThreadCount = 128;
 constexpr int kHttpOk = 200;
 constexpr int kHttpGone = 410;
 constexpr int kHttpUnavailable = 503;
@@ -115,11 +116,15 @@
     return isAvailable;
   }
 
-  /** Returns when the store stops, if it is silent. */
-  void waitIfSilent(std::unique_lock<std::mutex>& aLock)
+  /** If the store is silent, returns when the caller has given up. */
+  void waitIfSilent(std::unique_lock<std::mutex>& aLock,
+                    const httplib::Request& aRequest)
   {
+    constexpr std::chrono::milliseconds kLongestMargin{ 5'000 };
     if (isSilent) {
-      changed.wait(aLock, [this] { return isStopping; });
+      const std::chrono::milliseconds wait(numberParameter(aRequest, "waitMs"));
+      changed.wait_for(
+        aLock, wait + kLongestMargin, [this] { return isStopping; });
     }
   }
 
@@ -145,7 +150,7 @@
                    httplib::Response& aResponse)
   {
     std::unique_lock lock(mutex);
-    waitIfSilent(lock);
+    waitIfSilent(lock, aRequest);
     if (!begin(aResponse)) {
       return;
     }
@@ -174,7 +179,7 @@
                    httplib::Response& aResponse)
   {
     std::unique_lock lock(mutex);
-    waitIfSilent(lock);
+    waitIfSilent(lock, aRequest);
     if (!begin(aResponse)) {
       return;
     }
@@ -191,6 +196,7 @@
     };
     changed.wait_for(
       lock, wait, [&] { return isCut() || log.revision().change > after; });
+    waitIfSilent(lock, aRequest);
     if (isCut()) {
       finish(aResponse, kHttpUnavailable);
       return;
--- a/tests/standins/platformstore.h
+++ b/tests/standins/platformstore.h
@@ -39,8 +39,8 @@
   /** An unavailable store answers each call with the status 503. */
   void setAvailable(bool aIsAvailable);
   /**
-   * A silent store accepts calls and never answers those that arrive
-   * meanwhile, not even when it is no longer silent.
+   * A silent store accepts calls and never answers those that arrive or are
+   * due meanwhile, not even when it is no longer silent.
    */
   void setSilent(bool aIsSilent);
   /** Discards the history, so that watches from earlier revisions get 410. */
