Control: Let service readers retry within five seconds

After an outage of the configuration service of a minute or longer, each process called it again only after 15 to 30 s, the service readers among them. The others learn of a change from the readers, so that a small site with two of them could use an old document for longer than the 18 s in which a change has to be in force.

Change: the delay is a class of its own, ReadBackoff; that of service readers ends at 5 s. With 10 readers of two watches each, a failing service gets at most 8 calls a second from them.

Measured: only the new case of tst_control; an outage of a minute was not played.

--- a/src/libs/control/viewwatch.cpp
+++ b/src/libs/control/viewwatch.cpp
@@ -2,12 +2,12 @@
 
 #include "compression/textcodec.h"
 #include "configservice/serviceclient.h"
+#include "control/readbackoff.h"
 #include "control/viewstore.h"
 #include "core/stopsource.h"
 #include "core/task.h"
 #include "telemetry/eventlog.h"
 
-#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -20,8 +20,6 @@
 
 /** Maximum time that the service delays its reply to a watch call. */
 constexpr std::chrono::milliseconds kLongPollTimeout{ 2'000 };
-constexpr std::chrono::milliseconds kInitialBackoff{ 500 };
-constexpr std::chrono::milliseconds kMaxBackoff{ 30'000 };
 /** A process without a confirmation for this time reads the service itself. */
 constexpr std::chrono::milliseconds kConfirmationTimeout{ 4'000 };
 constexpr std::chrono::milliseconds kReadCheckInterval{ 500 };
@@ -58,7 +56,7 @@
   {
     std::mt19937_64 random(std::random_device{}());
     std::uint64_t index = 0;
-    auto backoff = kInitialBackoff;
+    ReadBackoff backoff;
     bool isReachable = true;
     while (!stop.isStopRequested()) {
       if (!shouldRead()) {
@@ -75,16 +73,13 @@
           events.write(Telemetry::Event::ServiceUnreachable,
                        result.status().message());
         }
-        std::uniform_int_distribution<std::int64_t> delay(backoff.count() / 2,
-                                                          backoff.count());
-        stop.sleepFor(std::chrono::milliseconds(delay(random)));
-        backoff = std::min(backoff * 2, kMaxBackoff);
+        stop.sleepFor(backoff.next(isReader(), random));
         continue;
       }
       if (!std::exchange(isReachable, true)) {
         events.write(Telemetry::Event::ServiceReachable, source);
       }
-      backoff = kInitialBackoff;
+      backoff.reset();
       index = result->index;
       aApplyResult(*result);
     }
@@ -104,7 +99,12 @@
         return true;
       }
     }
-    return store.state().view == nullptr ||
+    return store.state().view == nullptr || isReader();
+  }
+
+  bool isReader() const
+  {
+    return store.state().view != nullptr &&
            isServiceReader(store.instances(), self);
   }
 
--- a/tests/auto/control/tst_control.cpp
+++ b/tests/auto/control/tst_control.cpp
@@ -3,6 +3,7 @@
 
 #include "compression/textcodec.h"
 #include "control/peerchoice.h"
+#include "control/readbackoff.h"
 #include "control/viewstore.h"
 #include "messages/peermessages.pb.h"
 
@@ -272,6 +273,25 @@
         std::map<std::string, int>{ { "z0", 2 }, { "z1", 2 }, { "z2", 2 } });
 }
 
+// Guards against a fleet that stays with an old document for up to 30 s after
+// a long outage of the service.
+TEST_CASE("service readers call a failed service again within a few seconds")
+{
+  std::mt19937_64 random(1);
+  ReadBackoff reader;
+  ReadBackoff other;
+  auto longest = std::chrono::milliseconds(0);
+  for (int i = 0; i < 100; ++i) {
+    CHECK(reader.next(true, random) <= ReadBackoff::kMaxReaderDelay);
+    longest = std::max(longest, other.next(false, random));
+  }
+  CHECK(longest > ReadBackoff::kMaxDelay / 2);
+  CHECK(longest <= ReadBackoff::kMaxDelay);
+  CHECK(other.next(true, random) <= ReadBackoff::kMaxReaderDelay);
+  other.reset();
+  CHECK(other.next(false, random) <= ReadBackoff::kInitialDelay);
+}
+
 TEST_CASE("a process has three peers in its zone, a reader one in each other")
 {
   const auto list = createInstanceList(60, 3);
