Steering: Look up an agent's history only for candidates

Found when reading the change again. findCandidates() looked up the history of every target in search order, though only an agent that may own the flow and is not suspected can be chosen. Two comments are corrected (messages that may be lost, what a soak's mFailedAt records), and the soak's server addresses lose a division that is always zero.

--- a/src/libs/membership/mapfollowing.h
+++ b/src/libs/membership/mapfollowing.h
@@ -56,8 +56,8 @@
   static constexpr std::chrono::milliseconds kStoreWaitTime{ 1'000 };
   /**
    * A follower without a confirmation for this time calls the store, the later
-   * the higher its rank: the first ones may confirm the others. Between two
-   * answers of the store, up to three messages may be lost.
+   * the higher its rank: the first ones may confirm the others. Two messages
+   * in succession may be lost after an answer of the store.
    */
   static constexpr std::chrono::milliseconds kConfirmationTimeout =
     kStoreWaitTime + 3 * kInterval;
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -532,10 +532,12 @@
       candidates.isAnyLeft = true;
       const bool isUncertain = aSearch.uncertainAgents.contains(agent);
       candidates.isReplyMissing |= !isUncertain && !isSuspected;
+      if (!isUncertain || isSuspected) {
+        continue;
+      }
       const auto history = historyOf(agent);
-      const bool isLikelier = candidates.next == nullptr ||
-                              history + kSameStartTime < shortestHistory;
-      if (isUncertain && !isSuspected && isLikelier) {
+      if (candidates.next == nullptr ||
+          history + kSameStartTime < shortestHistory) {
         candidates.next = target;
         shortestHistory = history;
       }
--- a/tests/storesoak/storesoak.cpp
+++ b/tests/storesoak/storesoak.cpp
@@ -22,7 +22,7 @@
 std::string
 serverAddress(unsigned aNumber)
 {
-  return absl::StrCat("10.0.", aNumber / 200, ".", aNumber % 200 + 1);
+  return absl::StrCat("10.0.0.", aNumber + 1);
 }
 
 std::string
--- a/tests/storesoak/storesoak.h
+++ b/tests/storesoak/storesoak.h
@@ -74,7 +74,7 @@
   Core::TimePoint mPhaseEnd{};
   Core::TimePoint mSilentUntil{};
   Core::TimePoint mUnavailableUntil{};
-  /** When the store last failed, or its history was discarded. */
+  /** When the store last failed or a process was started again. */
   Core::TimePoint mFailedAt{};
   std::vector<Change> mUncheckedChanges;
   unsigned mVersion = 0;
