--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,5 +5,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 RECORD=review/2/record.txt
 export RECORD
-[ -x target/bin/lacewingspread ] && [ -x review/build/case_foreign ] || exit 2
-exec timeout -k 5 115 review/build/case_foreign
+[ -x target/bin/lacewingspread ] && [ -x review/build/case_split ] || exit 2
+exec timeout -k 5 115 review/build/case_split
--- a/review/standin/case_idle.cpp
+++ b/review/standin/case_idle.cpp
@@ -94,8 +94,8 @@
                   holders[i]->id().c_str());
     }
   }
-  record.line("%d of %zu open flows were reset by the system", broken,
-              flows.size());
+  record.line(
+    "%d of %zu open flows were reset by the system", broken, flows.size());
   return broken > 0 ? 1 : 0;
 }
 
