--- a/review/world/world.h
+++ b/review/world/world.h
@@ -17,6 +17,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdarg>
 #include <cstdint>
@@ -329,7 +330,17 @@
       answerWatches();
     }
   }
-  /** Another revision without a change that a watch reports. */
+  /** A drill: the store comes back from an older copy, in a new era. */
+  void restore(const std::map<std::string, Item>& copy, std::uint64_t copyRevision)
+  {
+    items = copy;
+    revision = copyRevision;
+    ++era;
+    history.erase(std::remove_if(history.begin(), history.end(), [this](const Event& e) { return e.revision > revision; }), history.end());
+    while (!connections.empty()) {
+      drop(connections.begin()->first);
+    }
+  }
   std::map<std::string, Item> items;
   std::uint64_t revision = 10;
   std::uint32_t era = 1;
@@ -492,8 +503,12 @@
       }
       reply(fd, c->id, 200, body + "],\"hasMore\":" + (more ? "true" : "false") + ",\"currentRev\":" + std::to_string(revision) + "}");
     } else if (path.rfind("/api/kv-watch", 0) == 0) {
-      c->isWatching = true;
       c->after = std::strtoull(get("after").c_str(), nullptr, 10);
+      if (c->after > revision) {
+        reply(fd, c->id, 410, "{}");
+        return;
+      }
+      c->isWatching = true;
       c->prefix = get("prefix");
       if (!answerWatch(fd, *c, false)) {
         const auto id = c->id;
@@ -823,10 +838,11 @@
     loop.watch(fd, POLLIN, [this](short) { receive(); });
     return true;
   }
-  std::shared_ptr<Flow> open(const std::string& balancer, const std::string& routeIp, std::uint16_t routePort)
+  /** From the next port, or from one whose flow both ends have closed. */
+  std::shared_ptr<Flow> open(const std::string& balancer, const std::string& routeIp, std::uint16_t routePort, std::uint16_t port = 0)
   {
     auto f = std::make_shared<Flow>();
-    f->port = nextPort++;
+    f->port = port ? port : nextPort++;
     f->routeIp = address(routeIp);
     f->routePort = routePort;
     f->balancer = balancer;
