--- a/review/world/lapse.cpp
+++ b/review/world/lapse.cpp
@@ -3,7 +3,8 @@
 // balancers are killed at one moment. The agents run all the while.
 #include "fleet.h"
 
-int main(int argc, char** argv)
+int
+main(int argc, char** argv)
 {
   using namespace world;
   if (argc != 4) {
@@ -21,7 +22,8 @@
   loop.runUntil(16000);
   std::vector<std::shared_ptr<Client::Flow>> flows;
   for (int i = 0; i < 8; ++i) {
-    flows.push_back(fleet.client->open(Fleet::balancerIp(i % 2), "127.98.0.1", 8443));
+    flows.push_back(
+      fleet.client->open(Fleet::balancerIp(i % 2), "127.98.0.1", 8443));
     loop.runFor(30);
   }
   loop.runFor(300);
@@ -29,12 +31,14 @@
     int answered = 0;
     for (auto& f : flows) {
       if (f->state == Client::State::Open) {
-        fleet.client->request(f, std::string(name) + "-" + std::to_string(f->port), 55);
+        fleet.client->request(
+          f, std::string(name) + "-" + std::to_string(f->port), 55);
       }
     }
     loop.runFor(ms);
     for (auto& f : flows) {
-      answered += f->state == Client::State::Open && !f->isWaiting && !f->isLost;
+      answered +=
+        f->state == Client::State::Open && !f->isWaiting && !f->isLost;
     }
     loop.note("round %s: %d of 8 requests are answered", name, answered);
     return answered;
@@ -48,23 +52,18 @@
   if (round("moved", 1000) != 8) {
     return NotRun;
   }
-  const auto setStore = [&](Store::Mode mode) {
-    for (int i = 0; i < 2; ++i) {
-      fleet.store->modes[address(Fleet::balancerIp(i))] = mode;
-    }
-  };
   if (fleet.hasTrouble) {
     // The store is down for 4.5 s; entries expire after three check-in
     // intervals, 3.6 s, and are back within 2 s of its return.
     loop.note("the store is down");
-    setStore(Store::Mode::Busy);
+    fleet.store->mode = Store::Mode::Busy;
     loop.runFor(4000);
     for (auto& target : fleet.targets) {
       fleet.store->erase("servers/" + target->id);
     }
     loop.runFor(500);
     loop.note("the store is back");
-    setStore(Store::Mode::Serve);
+    fleet.store->mode = Store::Mode::Serve;
     for (auto& target : fleet.targets) {
       loop.runFor(100);
       target->announce("ready");
@@ -84,7 +83,8 @@
       balancer->end();
       balancer->start();
     }
-    if (!fleet.deployment.waitUntilReady({ Fleet::balancerIp(0), Fleet::balancerIp(1) }, 10000)) {
+    if (!fleet.deployment.waitUntilReady(
+          { Fleet::balancerIp(0), Fleet::balancerIp(1) }, 10000)) {
       return NotRun;
     }
   }
@@ -95,6 +95,9 @@
   for (auto& f : flows) {
     resets += f->resetBySystem;
   }
-  loop.note("%d open flows were reset by the system; %d of 8 requests were answered", resets, answered);
+  loop.note(
+    "%d open flows were reset by the system; %d of 8 requests were answered",
+    resets,
+    answered);
   return resets > 0 ? Broken : Held;
 }
