--- a/review/world/moved.cpp
+++ b/review/world/moved.cpp
@@ -2,7 +2,8 @@
 // processes of the system are killed at one moment and started again.
 #include "fleet.h"
 
-int main(int argc, char** argv)
+int
+main(int argc, char** argv)
 {
   using namespace world;
   if (argc != 4) {
@@ -28,14 +29,19 @@
     int answered = 0;
     for (auto& f : flows) {
       if (f->state == Client::State::Open) {
-        fleet.client->request(f, std::string(name) + "-" + std::to_string(f->port), 55);
+        fleet.client->request(
+          f, std::string(name) + "-" + std::to_string(f->port), 55);
       }
     }
     loop.runFor(ms);
     for (auto& f : flows) {
-      answered += f->state == Client::State::Open && !f->isWaiting && !f->isLost;
+      answered +=
+        f->state == Client::State::Open && !f->isWaiting && !f->isLost;
     }
-    loop.note("round %s: %d of %zu requests are answered", name, answered, flows.size());
+    loop.note("round %s: %d of %zu requests are answered",
+              name,
+              answered,
+              flows.size());
     return answered;
   };
   if (round("first", 1000) != 8) {
@@ -57,7 +63,8 @@
       n->end();
       n->start();
     }
-    if (!fleet.deployment.waitUntilReady({ Fleet::balancerIp(0), Fleet::balancerIp(1) }, 10000)) {
+    if (!fleet.deployment.waitUntilReady(
+          { Fleet::balancerIp(0), Fleet::balancerIp(1) }, 10000)) {
       return NotRun;
     }
   }
@@ -80,9 +87,14 @@
         }
       }
     }
-    loop.note("flow of port %u: within 2000 ms %d packets reached other targets and %d its own", f->port, others, own);
+    loop.note("flow of port %u: within 2000 ms %d packets reached other "
+              "targets and %d its own",
+              f->port,
+              others,
+              own);
     broken += (others >= 3 && own == 0) || f->resetBySystem;
   }
-  loop.note("%d flows broken; %d of 8 requests were answered", broken, answered);
+  loop.note(
+    "%d flows broken; %d of 8 requests were answered", broken, answered);
   return broken > 0 ? Broken : Held;
 }
