Steering: Ask unlikely owners that only they can confirm

Cause: a balancer that starts does not know the services that the route named before, so their targets are unlikely owners. Such a target got no packet before its agent had confirmed the flow, and an agent that was restarted as well cannot. Only the target knew, and it was not asked.

Change: an unlikely owner whose agent does not know the flow gets one packet of it, after all possible owners. It returns the packet if it does not hold the flow. No SYN is sent this way, and no packet while the map is known to be outdated. A flow whose confirmed owner has lost its address is searched in its own service only, so no other service gets its packets.

--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -135,8 +135,8 @@
   None,
   /**
    * Only if the route names the target's service in a configuration that is not
-   * known. Such a target gets no packet before its agent has confirmed that it
-   * owns the flow, since its address may have belonged to another service.
+   * known. Such a target gets a packet only after all possible owners, and only
+   * if its agent does not know whether it owns the flow.
    */
   Unlikely,
   Possible,
--- a/src/libs/steering/flowcache.h
+++ b/src/libs/steering/flowcache.h
@@ -72,6 +72,11 @@
    * The agent's address may belong to another service later.
    */
   std::uint32_t serviceTag = 0;
+  /**
+   * Service of the confirmed owner whose address has been released since; 0 if
+   * there was none. Targets of other services do not own the flow.
+   */
+  std::uint32_t lostOwnerServiceTag = 0;
   /** The caller sent a packet other than a SYN. */
   bool isEstablished = false;
 };
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -463,6 +463,7 @@
     const auto previousAgent = std::exchange(cachedFlow.agent, aFrom);
     cachedFlow.isConfirmed = true;
     cachedFlow.serviceTag = serviceTag;
+    cachedFlow.lostOwnerServiceTag = 0;
     cachedFlow.excludedAgents.clear();
     cachedFlow.rejectedBy.clear();
     cachedFlow.firstExhaustedAt = {};
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -100,6 +101,9 @@
     } else if (!needsSearch) {
       mContext.forward(aPacket, aRoute, *cachedFlow);
     } else {
+      if (cachedFlow->isConfirmed) {
+        cachedFlow->lostOwnerServiceTag = cachedFlow->serviceTag;
+      }
       cachedFlow->excludedAgents.add(cachedFlow->agent);
       startSearch(aPacket, aFlow, aRoute, *cachedFlow, aNow);
     }
@@ -273,12 +277,29 @@
   std::vector<const Target*> searchOrder(const Route& aRoute,
                                          const Packet::FlowKey& aFlow) const
   {
-    return Steering::searchOrder(*mContext.map,
-                                 aRoute,
-                                 mContext.config.zone,
-                                 flowHash(aFlow),
-                                 mContext.now,
-                                 mContext.isMapOutdated());
+    auto order = Steering::searchOrder(*mContext.map,
+                                       aRoute,
+                                       mContext.config.zone,
+                                       flowHash(aFlow),
+                                       mContext.now,
+                                       mContext.isMapOutdated());
+    const auto* cachedFlow = mContext.flowCache.find(aFlow);
+    if (cachedFlow != nullptr && cachedFlow->lostOwnerServiceTag != 0) {
+      keepTargetsOf(cachedFlow->lostOwnerServiceTag, order);
+    }
+    return order;
+  }
+
+  /** No-op if the service has no target any more. */
+  void keepTargetsOf(std::uint32_t aServiceTag,
+                     std::vector<const Target*>& aOrder) const
+  {
+    const auto isOther = [&](const Target* aTarget) {
+      return mContext.map->serviceOf(aTarget->agent).tag != aServiceTag;
+    };
+    if (!std::all_of(aOrder.begin(), aOrder.end(), isOther)) {
+      std::erase_if(aOrder, isOther);
+    }
   }
 
   void searchUnknownFlow(const PacketType& aPacket,
@@ -543,7 +564,7 @@
     const auto order = searchOrder(aRoute, aFlow);
     Candidates candidates;
     candidates.haveAllRejected = !order.empty();
-    auto shortestHistory = kUnknownHistory;
+    const Target* lastResort = nullptr;
     for (const auto* target : order) {
       const auto& agent = target->agent;
       const bool isSuspected = mContext.loads.isSuspected(agent, aNow);
@@ -558,21 +579,23 @@
         continue;
       }
       candidates.isAnyLeft = true;
-      if (mContext.ownerChance(aRoute, agent) == OwnerChance::Unlikely) {
-        continue;
-      }
       const bool isUncertain = aSearch.uncertainAgents.contains(agent);
-      candidates.isReplyMissing |= !isUncertain && !isSuspected;
+      const bool isPossibleOwner =
+        mContext.ownerChance(aRoute, agent) == OwnerChance::Possible;
+      candidates.isReplyMissing |=
+        isPossibleOwner && !isUncertain && !isSuspected;
       if (!isUncertain || isSuspected) {
         continue;
       }
-      const auto history = historyOf(agent);
-      if (candidates.next == nullptr ||
-          history + kSameStartTime < shortestHistory) {
-        candidates.next = target;
-        shortestHistory = history;
+      if (isPossibleOwner) {
+        candidates.next = startedLater(candidates.next, target);
+      } else if (mContext.mayForwardTo(aRoute, agent)) {
+        lastResort = startedLater(lastResort, target);
       }
     }
+    if (candidates.next == nullptr) {
+      candidates.next = lastResort;
+    }
     if (candidates.isReplyMissing &&
         aSearch.passCount < PendingSearch::kPassesBeforeForwarding) {
       candidates.next = nullptr;
@@ -580,6 +603,15 @@
     return candidates;
   }
 
+  /** The target whose agent started later; the first if they are equal. */
+  const Target* startedLater(const Target* aFirst, const Target* aSecond) const
+  {
+    const bool isSecondLater =
+      aFirst == nullptr ||
+      historyOf(aSecond->agent) + kSameStartTime < historyOf(aFirst->agent);
+    return isSecondLater ? aSecond : aFirst;
+  }
+
   /** For how long an agent has known the flows of its backend server. */
   std::chrono::milliseconds historyOf(const Core::Endpoint& aAgent) const
   {
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -129,6 +129,18 @@
              : ownerChance(aRoute, aCachedFlow.agent) == OwnerChance::Possible;
   }
 
+  /**
+   * Whether a packet of an open flow without a known owner may be sent to the
+   * agent, whose backend server returns it if it does not own the flow. With an
+   * outdated map, the agent's address may belong to another service by now.
+   */
+  bool mayForwardTo(const Route& aRoute, const Core::Endpoint& aAgent) const
+  {
+    const auto chance = map->ownerChance(aRoute, aAgent, now);
+    return chance == OwnerChance::Possible ||
+           (chance == OwnerChance::Unlikely && !isMapOutdated());
+  }
+
   /**
    * Forwards a packet to the agent in the flow's cache entry. For a new flow
    * aAge is how long its caller has waited; aIgnoresEjection sends it to an
@@ -140,9 +152,11 @@
                std::chrono::milliseconds aAge = {},
                bool aIgnoresEjection = false)
   {
-    const bool isAllowed = aPacket.isSyn()
-                             ? map->serves(aRoute, aCachedFlow.agent)
-                             : mayOwnFlow(aRoute, aCachedFlow);
+    const auto& agent = aCachedFlow.agent;
+    const bool isAllowed = aPacket.isSyn() ? map->serves(aRoute, agent)
+                           : aCachedFlow.isConfirmed
+                             ? mayOwnFlow(aRoute, aCachedFlow)
+                             : mayForwardTo(aRoute, agent);
     if (!isAllowed) {
       // The agent's address may now belong to another service.
       counters.increment(SteeringCounter::PacketsWithoutTarget);
--- a/tests/flowsimulation/tst_routechange.cpp
+++ b/tests/flowsimulation/tst_routechange.cpp
@@ -67,6 +67,19 @@
   }
 }
 
+/** Restarts all balancers and agents at once; the targets keep their flows. */
+void
+restartAllProcesses(FlowSimulation& aSimulation)
+{
+  for (const auto& name : aSimulation.targetNames()) {
+    aSimulation.killAgent(name);
+  }
+  restartAllBalancers(aSimulation);
+  for (const auto& name : aSimulation.targetNames()) {
+    aSimulation.startAgent(name);
+  }
+}
+
 void
 checkAllAnswered(const FlowSimulation& aSimulation)
 {
@@ -138,6 +151,27 @@
   checkAllAnswered(simulation);
 }
 
+// Guards against packets that only reach the targets of a route's new service
+// when no process is left that knows the former one.
+TEST_CASE(
+  "idle flows of a service that left their route survive the restart of "
+  "all processes")
+{
+  FlowSimulation simulation({});
+  simulation.advance(kFullHistoryTime);
+  openLongFlows(simulation, 3, 6s);
+  simulation.setShares("red", { "blue" });
+  SUBCASE("the service stays in the configuration") {}
+  SUBCASE("the service leaves the configuration")
+  {
+    simulation.removeService("red");
+  }
+  simulation.advance(1s);
+  restartAllProcesses(simulation);
+  simulation.advance(20s);
+  checkAllAnswered(simulation);
+}
+
 // Guards against the loss of flows that other balancers opened by a
 // configuration that the balancer has not used.
 TEST_CASE("a balancer that missed a configuration finds the flows of it")
