Steering: Take only an observed start for the age of a target

Cause: without the earlier configurations, a target that was announced after the first known one counted as newer than any unknown one, and was not queried. The revision at which its announcement was created was taken for its start. An announcement that expired is created again while its target lives.

Change: only a target that took over the address of another one, as seen by this process, counts as newer. The targets at released addresses stay exempt by that; all others are queried, and asked if their agents do not know the flow.

--- a/src/libs/steering/fleetmap.cpp
+++ b/src/libs/steering/fleetmap.cpp
@@ -62,10 +62,11 @@
   if (isFormerService || aRoute.hasShare(serviceIndex)) {
     return OwnerChance::Possible;
   }
-  // A target that was announced later never served an unknown configuration.
-  const auto& announcedAt =
-    mServices[serviceIndex].targets[it->second.second].announcedAt;
-  const bool isNewer = announcedAt.era == mHistoryStart.era &&
+  // A target that started later never served an unknown configuration.
+  const auto& target = mServices[serviceIndex].targets[it->second.second];
+  const auto& announcedAt = target.announcedAt;
+  const bool isNewer = target.isStartObserved &&
+                       announcedAt.era == mHistoryStart.era &&
                        announcedAt.change > mHistoryStart.change;
   return isRouteHistoryComplete(aNow) || isNewer ? OwnerChance::None
                                                  : OwnerChance::Unlikely;
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -46,8 +46,16 @@
   bool isZoneEvacuated = false;
   /** Unix time of the target's start; 0 if unknown. */
   std::chrono::milliseconds startedAt{ 0 };
-  /** Revision at which it was first announced; null if unknown. */
+  /**
+   * Revision at which its announcement was created; null if unknown. An
+   * announcement that expired is created again while its target lives.
+   */
   MapRevision announcedAt;
+  /**
+   * Whether this process has seen an earlier target at the address, so that
+   * this one is not older than its announcement.
+   */
+  bool isStartObserved = false;
   /**
    * Whether the configuration names its service, or did until lately. If not,
    * the announcement may be of another writer, and the target may not exist.
--- a/tests/auto/platform/tst_routehistory.cpp
+++ b/tests/auto/platform/tst_routehistory.cpp
@@ -251,3 +251,42 @@
                  "10.0.0.1",
                  Core::SystemClock().now()) == OwnerChance::Possible);
 }
+
+// Guards against resets of flows of living targets whose announcements expired,
+// and against packets for another service that has taken a released address.
+TEST_CASE("a target is newer than the history only if its start was observed")
+{
+  auto announcement = [](std::uint64_t aRevision, int aBorn) {
+    Platform::StoreItem item{ "servers/a",
+                              announcementText(
+                                "10.0.0.1", "ready", aBorn, "green"),
+                              { 1, aRevision } };
+    item.createdAt = item.revision;
+    return item;
+  };
+  Platform::StoreSnapshot snapshot;
+  snapshot.replace({ configurationItem(2, "red", 9), announcement(10, 1'000) },
+                   { 1, 10 },
+                   kStart);
+  Platform::MapDecoder decoder;
+  auto map = decoder.decode(snapshot, kAgentPort, nullptr, kStart).map;
+  CHECK(chanceOf(map, "10.0.0.1", kStart) == OwnerChance::Unlikely);
+  SUBCASE("the announcement is created again")
+  {
+    auto expired = announcement(11, 1'000);
+    expired.isDeleted = true;
+    snapshot.apply({ expired }, { 1, 11 }, kStart);
+    map = decoder.decode(snapshot, kAgentPort, map, kStart).map;
+    snapshot.apply({ announcement(12, 1'000) }, { 1, 12 }, kStart);
+    map = decoder.decode(snapshot, kAgentPort, map, kStart).map;
+    CHECK(chanceOf(map, "10.0.0.1", kStart) == OwnerChance::Unlikely);
+  }
+  SUBCASE("another target takes the address")
+  {
+    snapshot.apply({ announcement(12, 2'000) }, { 1, 12 }, kStart);
+    map = decoder.decode(snapshot, kAgentPort, map, kStart).map;
+    CHECK(chanceOf(map, "10.0.0.1", kStart) == OwnerChance::None);
+    map = decoder.decode(snapshot, kAgentPort, map, kStart).map;
+    CHECK(chanceOf(map, "10.0.0.1", kStart) == OwnerChance::None);
+  }
+}
--- a/tests/auto/steering/tst_routehistory.cpp
+++ b/tests/auto/steering/tst_routehistory.cpp
@@ -38,7 +38,9 @@
 
 /** Agent 1 is of the service "red", agent 2 of "blue", agent 3 of "green". */
 Steering::FleetMapPointer
-mapOf(const RouteHistory& aHistory, const std::vector<std::string>& aServices)
+mapOf(const RouteHistory& aHistory,
+      const std::vector<std::string>& aServices,
+      bool aIsStartObserved = false)
 {
   Steering::FleetMapBuilder builder;
   builder.route(routesTo(aServices).front()).routeHistory(aHistory);
@@ -47,6 +49,7 @@
     Steering::Target target;
     target.agent = agent(++number);
     target.announcedAt = { 1, 10 };
+    target.isStartObserved = aIsStartObserved;
     builder.target(service, target);
   }
   return builder.build();
@@ -127,13 +130,23 @@
   REQUIRE(order.size() == 3);
   CHECK(order.front() == agent(2));
   CHECK(chanceOf(map, 1, kExpired) == OwnerChance::None);
-  // The targets were announced after the first known configuration.
+  // The targets started after the first known configuration.
   history.restart(2, { 1, 9 }, kStart);
-  map = mapOf(history, { "blue" });
+  map = mapOf(history, { "blue" }, true);
   CHECK(chanceOf(map, 1, kStart) == OwnerChance::None);
   // Revisions of different eras cannot be compared.
   history.restart(2, { 2, 9 }, kStart);
-  map = mapOf(history, { "blue" });
+  map = mapOf(history, { "blue" }, true);
+  CHECK(chanceOf(map, 1, kStart) == OwnerChance::Unlikely);
+}
+
+// Guards against resets of flows of a target whose announcement expired and was
+// created again.
+TEST_CASE("a later announcement does not show that the target is newer")
+{
+  RouteHistory history;
+  history.restart(2, { 1, 9 }, kStart);
+  const auto map = mapOf(history, { "blue" });
   CHECK(chanceOf(map, 1, kStart) == OwnerChance::Unlikely);
 }
 
--- a/tests/flowsimulation/flowsimulation.cpp
+++ b/tests/flowsimulation/flowsimulation.cpp
@@ -487,6 +487,16 @@
   mStore.put(key, aNode.announced);
 }
 
+void
+FlowSimulation::announceAgain()
+{
+  for (const auto& [name, node] : mTargetNodes) {
+    mStore.erase(absl::StrCat(Platform::kServersPrefix, name));
+    node->announced.clear();
+  }
+  publishMap();
+}
+
 void
 FlowSimulation::publishMap()
 {
--- a/tests/flowsimulation/flowsimulation.h
+++ b/tests/flowsimulation/flowsimulation.h
@@ -134,6 +134,8 @@
    * and the operator write theirs again within two seconds.
    */
   void restoreStore(std::size_t aLostChanges);
+  /** All announcements expire and are created again; the targets live on. */
+  void announceAgain();
   /** Writes or removes the evacuation of a zone in the store. */
   void setEvacuated(std::size_t aZone, bool aIsEvacuated);
   bool isEvacuated(std::size_t aZone) const
--- a/tests/flowsimulation/tst_routechange.cpp
+++ b/tests/flowsimulation/tst_routechange.cpp
@@ -172,6 +172,29 @@
   checkAllAnswered(simulation);
 }
 
+// Guards against resets of flows of living targets whose announcements are
+// newer than the configuration that the balancers find when they start.
+TEST_CASE("flows of targets that were announced again survive new balancers")
+{
+  FlowSimulation simulation({});
+  simulation.advance(kFullHistoryTime);
+  openLongFlows(simulation, 3, 6s);
+  simulation.setShares("red", { "blue" });
+  simulation.advance(1s);
+  simulation.announceAgain();
+  simulation.advance(1s);
+  SUBCASE("the agents know the flows")
+  {
+    restartAllBalancers(simulation);
+  }
+  SUBCASE("no process knows the flows")
+  {
+    restartAllProcesses(simulation);
+  }
+  simulation.advance(20s);
+  checkAllAnswered(simulation);
+}
+
 // Guards against the loss of flows that other balancers opened by a
 // configuration that the balancer has not used.
 TEST_CASE("a balancer that missed a configuration finds the flows of it")
