Steering: Tell flows from the same port apart

Callers that used the port of a closed flow again had their new flow sent to the target of the closed one.

Cause: flows were identified by addresses and ports only. The balancer's cache entry outlives the flow by up to 40 s, and a SYN for it counted as a copy of the SYN of an open flow. Agents made the same mistake for 4 s: the SYN was exempt from admission and draining, and the new request could count as a retransmission of an earlier one.

Change: balancers and agents record the sequence numbers of the caller. A SYN with another number, or one that follows the caller's FIN or reset, opens a new flow. Packets, owner queries and rejections are compared in the same way. A copy of a SYN goes to no target that takes no new flows once the caller has used the flow.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -269,13 +269,8 @@
   {
     recordPriority(aMessage.priority);
     const auto key = aPacket.flowFromCaller();
-    if (mSlowStart.isActive(aNow)) {
-      forgetEndedFlow(key);
-    }
-    const auto* knownFlow = mFlows.find(key);
-    // A SYN for a flow that has ended would open a new one.
-    const bool isKnownFlow = knownFlow != nullptr &&
-                             !(mEvacuation.isEvacuated() && knownFlow->isEnded);
+    forgetEarlierFlow(aPacket, key, aNow);
+    const bool isKnownFlow = mFlows.find(key) != nullptr;
     if (!isKnownFlow) {
       const auto reason = admissionResult(aMessage, aNow);
       if (reason != RejectReason::None) {
@@ -303,6 +298,7 @@
       takeSlowStartPlace(flow, aNow);
     }
     flow.requestClass = requestClassOf(aMessage);
+    flow.callerSequence.record(aPacket);
     mFlows.setLongLived(flow, aMessage.isLongLived);
     if (waitingRequest(aMessage, aNow - aMessage.age).isOnTime(aNow)) {
       mFlows.expectRequest(key, flow, aNow);
@@ -324,11 +320,28 @@
                aMessage.latencyObjective.count(), 0)));
   }
 
-  /** A SYN from the port of an ended flow opens a new one. */
-  void forgetEndedFlow(const Packet::FlowKey& aKey)
+  /**
+   * A SYN from the port of an earlier flow opens a new one, which must not take
+   * over the admission or the request of the earlier one.
+   */
+  void forgetEarlierFlow(const PacketType& aPacket,
+                         const Packet::FlowKey& aKey,
+                         Core::TimePoint aNow)
   {
     const auto* flow = mFlows.find(aKey);
-    if (flow != nullptr && flow->isEnded) {
+    if (flow == nullptr) {
+      return;
+    }
+    // A backend server may take even a late copy for a new flow.
+    const bool mayBeTaken = aPacket.retransmissionCount() == 0 ||
+                            mEvacuation.isEvacuated() || mIsDraining ||
+                            mSlowStart.isActive(aNow);
+    if (flow->callerSequence.isOtherFlow(aPacket) ||
+        (flow->isEnded && mayBeTaken)) {
+      mCounters.increment(SteeringCounter::FlowsReplaced);
+      mQueue.erase(aKey);
+      mGivenUpRequests.erase(aKey);
+      mPendingSyns.erase(aKey);
       mFlows.erase(aKey);
     }
   }
@@ -459,6 +472,11 @@
       return;
     }
     const auto* flow = mFlows.find(query->flow);
+    if (flow != nullptr && query->sequence != 0 &&
+        !flow->callerSequence.mayContain(query->sequence)) {
+      // The record is of another flow from the caller's port.
+      flow = nullptr;
+    }
     if (flow != nullptr && flow->isOpen()) {
       sendOwnerNotice(aFrom, query->flow, 0, aNow);
       return;
@@ -579,9 +597,18 @@
                     Core::TimePoint aNow)
   {
     const auto key = aPacket.flowFromCaller();
+    const auto* knownFlow = mFlows.find(key);
+    if (knownFlow != nullptr && knownFlow->isEnded &&
+        knownFlow->callerSequence.isOtherFlow(aPacket)) {
+      // The caller uses the port again, and its new flow is at another target.
+      // The backend server would reset it.
+      rejectPacket(aFrom, aPacket, RejectReason::UnknownFlow, aNow);
+      return;
+    }
     auto& flow = mFlows.touch(key, aNow);
     flow.balancer = aFrom;
     flow.requestClass = requestClassOf(aMessage);
+    flow.callerSequence.record(aPacket);
     if (aMessage.wantsOwnerNotice && flow.isConfirmed) {
       sendOwnerNotice(flow.balancer, key, 0, aNow);
     } else {
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -202,7 +202,10 @@
 struct OwnerNotice
 {
   Packet::FlowKey flow;
-  /** Initial sequence number of the backend server; 0 if unknown. */
+  /**
+   * Owner notice: initial sequence number of the backend server. Owner query: a
+   * sequence number of the caller. 0 if unknown.
+   */
   std::uint32_t sequence = 0;
 
   void appendTo(std::vector<std::uint8_t>& aBuffer) const;
--- a/src/libs/steering/flowcache.h
+++ b/src/libs/steering/flowcache.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "steering/callersequence.h"
+
 #include "core/clock.h"
 #include "core/endpoint.h"
 #include "packet/flowkey.h"
@@ -79,6 +81,7 @@
   std::uint32_t lostOwnerServiceTag = 0;
   /** The caller sent a packet other than a SYN. */
   bool isEstablished = false;
+  CallerSequence callerSequence;
 };
 
 /**
--- a/src/libs/steering/flowplacement.h
+++ b/src/libs/steering/flowplacement.h
@@ -66,9 +66,7 @@
     auto* cachedFlow = mContext.flowCache.find(aFlow);
     if (cachedFlow != nullptr &&
         (cachedFlow->isConfirmed || cachedFlow->isEstablished)) {
-      cachedFlow->lastPacketAt = aNow;
-      const auto* route = mContext.findRoute(aFlow);
-      mContext.forward(aPacket, *route, *cachedFlow);
+      handleLateCopy(aPacket, aFlow, *cachedFlow, aNow);
       return;
     }
     auto* pending = mPendingFlows.find(aFlow);
@@ -214,6 +212,26 @@
   bool hasQueued() const { return mPendingFlows.queuedCount() > 0; }
 
 private:
+  /**
+   * Handles the copy of a SYN that a target has answered. The caller of an
+   * established flow does not need the answer again, and a target that takes no
+   * new flows could take the SYN for one.
+   */
+  void handleLateCopy(const PacketType& aPacket,
+                      const Packet::FlowKey& aFlow,
+                      CachedFlow& aCachedFlow,
+                      Core::TimePoint aNow)
+  {
+    aCachedFlow.lastPacketAt = aNow;
+    const auto* target = mContext.map->findTarget(aCachedFlow.agent);
+    if (aCachedFlow.isEstablished &&
+        (target == nullptr || !target->acceptsNewFlows(aNow))) {
+      mContext.counters.increment(SteeringCounter::PacketsWithoutTarget);
+      return;
+    }
+    mContext.forward(aPacket, *mContext.findRoute(aFlow), aCachedFlow);
+  }
+
   /** Result of an attempt to place a flow. */
   enum class Placement : std::uint8_t
   {
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -383,7 +383,7 @@
       return;
     }
     if (aPacket.isSyn()) {
-      mPlacement.handleSyn(aPacket, flow, aNow);
+      steerSyn(aPacket, flow, aNow);
       return;
     }
     if (route == nullptr) {
@@ -394,6 +394,20 @@
     mOwnerSearch.handlePacket(aPacket, flow, *route, aNow);
   }
 
+  /** A SYN from the port of an earlier flow opens a new one. */
+  void steerSyn(const PacketType& aPacket,
+                const Packet::FlowKey& aFlow,
+                Core::TimePoint aNow)
+  {
+    if (mOwnerSearch.forgetOtherFlow(aPacket, aFlow)) {
+      mPlacement.finishPlacement(aFlow);
+    }
+    mPlacement.handleSyn(aPacket, aFlow, aNow);
+    if (auto* cachedFlow = mContext.flowCache.find(aFlow)) {
+      cachedFlow->callerSequence.record(aPacket);
+    }
+  }
+
   void handleReject(const Core::Endpoint& aFrom,
                     RejectReason aReason,
                     absl::Span<const std::uint8_t> aData,
@@ -416,6 +430,12 @@
       mContext.counters.increment(SteeringCounter::PacketsWithoutRoute);
       return;
     }
+    const auto* cachedFlow = mContext.flowCache.find(flow);
+    if (cachedFlow != nullptr &&
+        cachedFlow->callerSequence.isOtherFlow(*packet)) {
+      // A late rejection of an earlier flow from the same port.
+      return;
+    }
     if (packet->isSyn()) {
       mPlacement.handleRejectedSyn(flow, aFrom, aReason, aNow);
     } else {
--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -74,6 +74,7 @@
                     const Route& aRoute,
                     Core::TimePoint aNow)
   {
+    forgetOtherFlow(aPacket, aFlow);
     auto* cachedFlow = mContext.flowCache.find(aFlow);
     if (cachedFlow == nullptr) {
       if (!aPacket.isReset()) {
@@ -81,6 +82,7 @@
       }
       return;
     }
+    cachedFlow->callerSequence.record(aPacket);
     cachedFlow->lastPacketAt = aNow;
     if (!std::exchange(cachedFlow->isEstablished, true)) {
       setAcknowledgedAgent(*cachedFlow, aPacket.acknowledgment());
@@ -109,6 +111,27 @@
     }
   }
 
+  /**
+   * Forgets a flow if the packet is of another one that its caller has opened
+   * from the same port. Returns whether it did.
+   */
+  bool forgetOtherFlow(const PacketType& aPacket, const Packet::FlowKey& aFlow)
+  {
+    const auto* cachedFlow = mContext.flowCache.find(aFlow);
+    if (cachedFlow == nullptr ||
+        !cachedFlow->callerSequence.isOtherFlow(aPacket)) {
+      return false;
+    }
+    mContext.counters.increment(SteeringCounter::FlowsReplaced);
+    mContext.events.write(Telemetry::Event::FlowReplaced, [&] {
+      return mContext.flowFields(aFlow).add(
+        "agent", Core::formatEndpoint(cachedFlow->agent));
+    });
+    mSearches.take(aFlow);
+    mContext.flowCache.erase(aFlow);
+    return true;
+  }
+
   /** Handles a packet of an established flow that an agent rejected. */
   void handleRejectedPacket(const PacketType& aPacket,
                             const Packet::FlowKey& aFlow,
@@ -314,6 +337,7 @@
     });
     auto& cachedFlow = mContext.flowCache.insert(aFlow, aNow);
     cachedFlow.isEstablished = true;
+    cachedFlow.callerSequence.record(aPacket);
     startSearch(aPacket, aFlow, aRoute, cachedFlow, aNow);
   }
 
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -202,7 +202,10 @@
                       bool aWantsUnknownFlowReply)
   {
     beginMessage(aAgent, MessageKind::OwnerQuery, aWantsUnknownFlowReply);
-    OwnerNotice{ aFlow, 0 }.appendTo(mBuffer);
+    const auto* cachedFlow = flowCache.find(aFlow);
+    const auto sequence =
+      cachedFlow == nullptr ? 0 : cachedFlow->callerSequence.newest();
+    OwnerNotice{ aFlow, sequence }.appendTo(mBuffer);
     sendBuffer(aAgent);
     // A reply uses as much of the link in the other direction.
     searchBudget.take(mBuffer.size());
--- a/src/libs/steering/steeringcounters.cpp
+++ b/src/libs/steering/steeringcounters.cpp
@@ -25,6 +25,7 @@
   "flows_chosen_again",    "slow_start_rejects",
   "slow_start_waits",      "requests_failed",
   "targets_ejected",       "flows_rejected_ejected",
+  "flows_replaced",
 };
 
 } // namespace
--- a/src/libs/steering/steeringcounters.h
+++ b/src/libs/steering/steeringcounters.h
@@ -45,6 +45,7 @@
   RequestsFailed,
   TargetsEjected,
   FlowsRejectedEjected,
+  FlowsReplaced,
   Count,
 };
 
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "steering/callersequence.h"
 #include "steering/flowreuse.h"
 #include "steering/servicetimeestimator.h"
 
@@ -51,6 +52,7 @@
    */
   std::optional<std::uint32_t> answerSequence;
   std::uint32_t lastCallerSequence = 0;
+  CallerSequence callerSequence;
   /** Class of the newest request. */
   RequestClass requestClass = 0;
   RequestState request = RequestState::None;
--- a/src/libs/telemetry/eventcatalogue.h
+++ b/src/libs/telemetry/eventcatalogue.h
@@ -38,6 +38,7 @@
   PacketHandedBack = 313,
   TargetSuspected = 314,
   BalancerLoad = 315,
+  FlowReplaced = 316,
   FlowAdmitted = 320,
   FlowTurnedAway = 321,
   FlowNotHeld = 322,
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -803,6 +803,87 @@
         Steering::RejectReason::UnknownFlow);
 }
 
+// Guards against an agent that takes a record of an earlier flow from the same
+// port for one of the flow that is searched.
+TEST_CASE("an owner query tells flows from the same port apart")
+{
+  Fixture f;
+  f.startRequest(1);
+  const auto replyTo = [&f](std::uint32_t aSequence) {
+    AgentMessage message;
+    message.kind = MessageKind::OwnerQuery;
+    message.wantsUnknownFlowReply = true;
+    Bytes bytes;
+    message.appendTo(bytes);
+    Steering::OwnerNotice{ Test::flowOf(1), aSequence }.appendTo(bytes);
+    f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
+    return f.output.toBalancers.back().message.kind;
+  };
+  CHECK(replyTo(0) == MessageKind::OwnerNotice);
+  CHECK(replyTo(40) == MessageKind::OwnerNotice);
+  CHECK(replyTo(900'000'000) == MessageKind::UnknownFlowReply);
+}
+
+// Guards against new flows that are admitted because an earlier one from the
+// same port was, or whose request counts as a retransmission of its request.
+TEST_CASE("a SYN from the port of an earlier flow is admitted as a new one")
+{
+  Fixture f;
+  f.startRequest(1);
+  SUBCASE("the earlier flow has ended")
+  {
+    f.sendAnswer(1, true);
+  }
+  SUBCASE("the end of the earlier flow was not seen") {}
+  auto syn = [](std::uint32_t aSequence) {
+    Test::PacketFields fields;
+    fields.flow = Test::flowOf(1);
+    fields.isSyn = true;
+    fields.sequence = aSequence;
+    return Test::encode(fields);
+  };
+  SUBCASE("the agent is draining")
+  {
+    f.controller.startDraining(f.now);
+    const auto count = f.output.delivered.size();
+    f.forward(syn(900'000'000));
+    CHECK(f.output.delivered.size() == count);
+    CHECK(f.output.toBalancers.back().message.reason == RejectReason::Draining);
+  }
+  SUBCASE("the agent admits it")
+  {
+    const auto lastSequence = [&f] {
+      return Test::TestFormat::parse(f.output.delivered.back())->sequence();
+    };
+    f.forward(syn(900'000'000));
+    CHECK(lastSequence() == 900'000'000);
+    f.sendSynAck(1, 800);
+    f.forward(Fixture::dataPacket(1, 900'000'001));
+    CHECK(f.controller.inProgress() == 1);
+    CHECK(lastSequence() == 900'000'001);
+  }
+}
+
+// Guards against a backend server that resets a new flow, because it has ended
+// an earlier one from the same port.
+TEST_CASE(
+  "a packet of a flow that another target owns is rejected after the end "
+  "of an earlier one")
+{
+  Fixture f;
+  f.startRequest(1);
+  f.sendAnswer(1, true);
+  const auto count = f.output.delivered.size();
+  f.forward(Fixture::dataPacket(1, 900'000'000));
+  CHECK(f.output.delivered.size() == count);
+  CHECK(f.output.toBalancers.back().message.kind == MessageKind::Reject);
+  CHECK(f.output.toBalancers.back().message.reason ==
+        RejectReason::UnknownFlow);
+  // The last packets of the earlier flow are still delivered.
+  f.forward(Fixture::callerFin(1));
+  CHECK(f.output.delivered.size() == count + 1);
+}
+
 TEST_CASE("an owner query is answered with a stored owner hint")
 {
   Fixture f;
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -170,6 +170,7 @@
     fields.isSyn = aIsSyn;
     fields.dataBytes = aDataBytes;
     fields.acknowledgment = acknowledgment;
+    fields.sequence = sequence;
     return Test::encode(fields);
   }
 
@@ -253,6 +254,41 @@
       steerer.tick(now);
     }
   }
+  void sendFin(std::uint16_t aCaller)
+  {
+    Test::PacketFields fields;
+    fields.flow = Test::flowOf(aCaller);
+    fields.isFin = true;
+    fields.sequence = sequence;
+    steerer.handleCallerPacket(Test::encode(fields), now);
+  }
+  /** Opens a flow that the caller uses. Returns the agent of its target. */
+  Core::Endpoint openFlow(std::uint16_t aCaller)
+  {
+    sendSyn(aCaller);
+    const auto owner = lastForwardedTo();
+    sendOwnerNotice(owner, aCaller, 500);
+    acknowledgment = 501;
+    ++sequence;
+    sendData(aCaller);
+    acknowledgment = 0;
+    return owner;
+  }
+  /** The target accepts no new flows. */
+  void drainTarget(const Core::Endpoint& aAgent)
+  {
+    const auto previousMap = steerer.map();
+    Steering::FleetMapBuilder builder;
+    builder.revision({ 1, 2 }).route(routeDeclaration());
+    for (auto target : previousMap->services().front().targets) {
+      if (target.agent == aAgent) {
+        target.state = Steering::TargetState::Draining;
+      }
+      builder.target("red", target);
+    }
+    steerer.setMap(builder.build(), now);
+    output.toAgents.clear();
+  }
   /** The platform no longer announces the target. */
   void removeTarget(std::uint8_t aTarget)
   {
@@ -344,6 +380,8 @@
   Telemetry::EventLog events;
   Core::TimePoint now{ 100s };
   std::uint32_t acknowledgment = 0;
+  /** Of the caller's packets. */
+  std::uint32_t sequence = 0;
   /** Whether there is a second route that is more urgent. */
   bool hasPriorities = false;
   std::set<Core::Endpoint> silentAgents;
@@ -1781,6 +1819,86 @@
   CHECK(f.lastForwardedTo() == Core::Endpoint{});
 }
 
+// Guards against new flows at a draining target, to which the balancer has
+// cached an earlier flow from the same port.
+TEST_CASE("a SYN from the port of an earlier flow opens a new one")
+{
+  Fixture f;
+  f.sequence = 1'000;
+  const auto owner = f.openFlow(1);
+  SUBCASE("the caller has closed the earlier flow")
+  {
+    f.sendFin(1);
+    f.sequence = 1'000;
+  }
+  SUBCASE("the caller closed it through another balancer")
+  {
+    f.sequence = 900'000'000;
+  }
+  SUBCASE("the next sequence number follows the last one")
+  {
+    ++f.sequence;
+  }
+  f.drainTarget(owner);
+  f.sendSyn(1);
+  const auto next = f.lastForwardedTo();
+  CHECK(next != Core::Endpoint{});
+  CHECK(next != owner);
+  CHECK(f.steerer.counters().value(Steering::SteeringCounter::FlowsReplaced) ==
+        1);
+  f.sendOwnerNotice(next, 1, 700);
+  f.acknowledgment = 701;
+  ++f.sequence;
+  f.sendData(1);
+  CHECK(f.lastForwardedTo() == next);
+  // A late rejection of the earlier flow's last packet has no effect.
+  const auto current = std::exchange(f.sequence, 300'000'000);
+  f.rejectPacket(owner, RejectReason::UnknownFlow, f.packet(1, false, 9));
+  f.sequence = current;
+  f.output.toAgents.clear();
+  f.sendData(1);
+  CHECK(f.lastForwardedTo() == next);
+}
+
+// Guards against a SYN that a draining target takes for a new flow after its
+// flow has ended, and against one that opens the flow at a second target.
+TEST_CASE("a late copy of the SYN of an open flow goes to no new target")
+{
+  Fixture f;
+  f.sequence = 1'000;
+  const auto owner = f.openFlow(1);
+  f.sequence = 1'000;
+  f.output.toAgents.clear();
+  SUBCASE("its target accepts new flows")
+  {
+    f.sendSyn(1, 1);
+    CHECK(f.lastForwardedTo() == owner);
+  }
+  SUBCASE("its target is draining")
+  {
+    f.drainTarget(owner);
+    f.sendSyn(1, 1);
+    CHECK(f.lastForwardedTo() == Core::Endpoint{});
+  }
+}
+
+// Guards against packets of a new flow at the target of an earlier one from the
+// same port, which resets it. Another balancer has placed the new flow.
+TEST_CASE("a packet of a later flow does not follow the cached earlier one")
+{
+  Fixture f;
+  f.sequence = 1'000;
+  f.openFlow(1);
+  f.output.toAgents.clear();
+  f.sequence = 900'000'000;
+  f.sendData(1);
+  CHECK(f.lastForwardedTo() == Core::Endpoint{});
+  REQUIRE_FALSE(f.output.toAgents.empty());
+  const auto& query = f.output.toAgents.front();
+  REQUIRE(query.message.kind == MessageKind::OwnerQuery);
+  CHECK(Steering::OwnerNotice::parse(query.body)->sequence == 900'000'000);
+}
+
 // Guards against a reset of a flow that opens at the same time: the target that
 // got the SYN takes no new flows any more, so only the others have rejected it.
 TEST_CASE("a flow is not refused while a target that got its SYN may own it")
