Steering: Search established flows without the rejections of their SYN

A target may refuse a SYN and accept its copy, which comes through another balancer. The first balancer kept the rejection, never queried that target and reset the open flow after all others had rejected it.

Change: the rejections and missing replies of the SYN are forgotten when the caller sends the first other packet.

Evidence: "a target that rejected a SYN may own the flow later" failed before.

--- a/src/libs/steering/ownersearch.h
+++ b/src/libs/steering/ownersearch.h
@@ -84,7 +84,7 @@
     }
     cachedFlow->callerSequence.record(aPacket);
     cachedFlow->lastPacketAt = aNow;
-    if (!std::exchange(cachedFlow->isEstablished, true)) {
+    if (markEstablished(*cachedFlow)) {
       setAcknowledgedAgent(*cachedFlow, aPacket.acknowledgment());
     }
     const bool needsSearch =
@@ -140,7 +140,7 @@
                             Core::TimePoint aNow)
   {
     auto& cachedFlow = mContext.flowCache.findOrInsert(aFlow, aNow);
-    cachedFlow.isEstablished = true;
+    markEstablished(cachedFlow);
     cachedFlow.rejectedBy.add(aFrom);
     cachedFlow.excludedAgents.add(aFrom);
     auto* search = mSearches.find(aFlow);
@@ -341,6 +341,20 @@
     startSearch(aPacket, aFlow, aRoute, cachedFlow, aNow);
   }
 
+  /**
+   * Returns whether the flow was not established before. A target that rejected
+   * its SYN may have accepted a copy from another balancer.
+   */
+  static bool markEstablished(CachedFlow& aCachedFlow)
+  {
+    if (std::exchange(aCachedFlow.isEstablished, true)) {
+      return false;
+    }
+    aCachedFlow.excludedAgents.clear();
+    aCachedFlow.rejectedBy.clear();
+    return true;
+  }
+
   /**
    * Several backend servers may have sent a SYN-ACK. The owner is the one that
    * the caller acknowledged.
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -1899,6 +1899,27 @@
   CHECK(Steering::OwnerNotice::parse(query.body)->sequence == 900'000'000);
 }
 
+// Guards against the reset of an open flow: its SYN was rejected here, but a
+// copy of it has opened the flow at the same target through another balancer.
+TEST_CASE("a target that rejected a SYN may own the flow later")
+{
+  Fixture f;
+  f.sendSyn(1);
+  const auto refusing = f.lastForwardedTo();
+  f.rejectPacket(refusing, RejectReason::Refused, f.packet(1, true));
+  f.output.toAgents.clear();
+  f.sequence = 1;
+  f.sendData(1);
+  f.rejectPacket(
+    f.lastForwardedTo(), RejectReason::UnknownFlow, f.packet(1, false, 9));
+  const auto isQueried = std::any_of(
+    f.output.toAgents.begin(), f.output.toAgents.end(), [&](const auto& aSent) {
+      return aSent.to == refusing &&
+             aSent.message.kind == MessageKind::OwnerQuery;
+    });
+  CHECK(isQueried);
+}
+
 // Guards against a reset of a flow that opens at the same time: the target that
 // got the SYN takes no new flows any more, so only the others have rejected it.
 TEST_CASE("a flow is not refused while a target that got its SYN may own it")
