Steering: Keep the flow of a request that was given up

Cause: an agent that gave a queued request up erased its record of the flow as well, although the backend server holds the flow and the caller may wait longer. Another balancer's owner query found no record at an agent that knows all flows, which means that the flow does not exist.

Change: only the request is forgotten. A retransmission still counts as a new request; it waits if no slot is free, instead of exceeding the slots.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -733,22 +733,24 @@
   }
 
   /**
-   * Removes the flows of given-up requests whose callers have left. A caller
-   * that has closed retransmits its request with its FIN for a while; without
-   * the entry, it would count as a new request and be delivered.
+   * Forgets given-up requests once their callers should have left. The flows
+   * stay, since the backend server holds them, and a caller may wait longer
+   * than the timeout of the route. A caller that has closed retransmits its
+   * request with its FIN for a while; without the entry, it would count as a
+   * new request and be delivered.
    */
   void forgetExpired(Core::TimePoint aNow)
   {
     giveUpUnanswerable(aNow);
     absl::erase_if(mGivenUpRequests, [this, aNow](const auto& aEntry) {
-      const auto* flow = mFlows.find(aEntry.first);
+      auto* flow = mFlows.find(aEntry.first);
       const auto retention = flow != nullptr && flow->hasCallerClosed
                                ? TargetFlowTable::kEndedFlowRetention
                                : std::chrono::seconds(0);
       const bool hasExpired = aNow >= aEntry.second + retention;
       if (hasExpired && flow != nullptr &&
           flow->request == RequestState::None) {
-        mFlows.erase(aEntry.first);
+        mFlows.forgetRequest(*flow);
       }
       return hasExpired;
     });
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -147,7 +147,7 @@
 }
 
 void
-TargetFlowTable::markEnded(TargetFlow& aFlow)
+TargetFlowTable::removeLoad(TargetFlow& aFlow)
 {
   setRequest(aFlow, RequestState::None);
   if (aFlow.isLongLived && aFlow.hasRequest && !aFlow.isReused) {
@@ -156,9 +156,23 @@
   mReusedFlows -= std::exchange(aFlow.isReused, false) ? 1 : 0;
   mLongLivedFlows -= std::exchange(aFlow.isLongLived, false) ? 1 : 0;
   aFlow.hasRequest = false;
+}
+
+void
+TargetFlowTable::markEnded(TargetFlow& aFlow)
+{
+  removeLoad(aFlow);
   aFlow.isEnded = true;
 }
 
+void
+TargetFlowTable::forgetRequest(TargetFlow& aFlow)
+{
+  removeLoad(aFlow);
+  aFlow.hasCallerData = false;
+  aFlow.waitingSince = {};
+}
+
 void
 TargetFlowTable::erase(const Packet::FlowKey& aFlow)
 {
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -139,6 +139,11 @@
   void recordReturned(const TargetFlow& aFlow);
   /** Marks the flow as closed or reset, and releases its slot. */
   void markEnded(TargetFlow& aFlow);
+  /**
+   * Removes the flow's newest request, which was not delivered, and its load.
+   * The flow stays open; a retransmission of the request counts as a new one.
+   */
+  void forgetRequest(TargetFlow& aFlow);
   void erase(const Packet::FlowKey& aFlow);
   /**
    * Releases the slots of requests that did not arrive or were not answered in
@@ -177,6 +182,7 @@
   void releaseUnusedSlots(Core::TimePoint aNow);
   void sweep(Core::TimePoint aNow);
   void recordReuse(TargetFlow& aFlow);
+  void removeLoad(TargetFlow& aFlow);
   void setRequest(TargetFlow& aFlow, RequestState aState);
   /** A slot is free for the next request delivered in excess of the slots. */
   void startNext(Core::TimePoint aNow);
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -172,6 +172,20 @@
     }
     return result;
   }
+  /** The reply to an owner query with a sequence number of the caller. */
+  AgentMessage queryOwner(std::uint16_t aCallerPort,
+                          std::uint32_t aSequence = 0)
+  {
+    AgentMessage message;
+    message.kind = MessageKind::OwnerQuery;
+    message.wantsUnknownFlowReply = true;
+    Bytes bytes;
+    message.appendTo(bytes);
+    Steering::OwnerNotice{ Test::flowOf(aCallerPort), aSequence }.appendTo(
+      bytes);
+    controller.handleBalancerMessage(kOtherBalancer, bytes, now);
+    return output.toBalancers.back().message;
+  }
   void startRequest(std::uint16_t aCallerPort)
   {
     forward(synPacket(aCallerPort));
@@ -809,19 +823,9 @@
 {
   Fixture f;
   f.startRequest(1);
-  const auto replyTo = [&f](std::uint32_t aSequence) {
-    AgentMessage message;
-    message.kind = MessageKind::OwnerQuery;
-    message.wantsUnknownFlowReply = true;
-    Bytes bytes;
-    message.appendTo(bytes);
-    Steering::OwnerNotice{ Test::flowOf(1), aSequence }.appendTo(bytes);
-    f.controller.handleBalancerMessage(kOtherBalancer, bytes, f.now);
-    return f.output.toBalancers.back().message.kind;
-  };
-  CHECK(replyTo(0) == MessageKind::OwnerNotice);
-  CHECK(replyTo(40) == MessageKind::OwnerNotice);
-  CHECK(replyTo(900'000'000) == MessageKind::UnknownFlowReply);
+  CHECK(f.queryOwner(1).kind == MessageKind::OwnerNotice);
+  CHECK(f.queryOwner(1, 40).kind == MessageKind::OwnerNotice);
+  CHECK(f.queryOwner(1, 900'000'000).kind == MessageKind::UnknownFlowReply);
 }
 
 // Guards against new flows that are admitted because an earlier one from the
@@ -884,6 +888,53 @@
   CHECK(f.output.delivered.size() == count + 1);
 }
 
+namespace {
+
+/** Runs the agent for longer than it needs to know all flows. */
+void
+completeHistory(Fixture& aFixture)
+{
+  aFixture.now += Steering::TargetFlowTable::kIdleTimeout;
+  aFixture.controller.tick(aFixture.now);
+}
+
+} // namespace
+
+// Guards against the reset of an open flow: its agent forgot the flow together
+// with the request that was given up, and said that no flow exists.
+TEST_CASE("the flow of a given-up request stays known")
+{
+  Fixture f;
+  completeHistory(f);
+  f.startRequest(9);
+  f.sendAnswer(9);
+  for (std::uint16_t caller = 1; caller <= 3; ++caller) {
+    f.startRequest(caller);
+  }
+  const auto request = Fixture::dataPacket(9, 50);
+  f.forward(request);
+  REQUIRE(f.controller.queuedRequests() == 1);
+  f.now += 2'100ms;
+  f.controller.tick(f.now);
+  REQUIRE(f.controller.queuedRequests() == 0);
+  CHECK(f.queryOwner(9, 50).kind == MessageKind::OwnerNotice);
+  SUBCASE("a retransmission is delivered if there is a free slot")
+  {
+    f.sendAnswer(1);
+    const auto count = f.output.delivered.size();
+    f.forward(request);
+    CHECK(f.output.delivered.size() == count + 1);
+    CHECK(f.controller.inProgress() == 3);
+  }
+  SUBCASE("a retransmission is queued otherwise")
+  {
+    f.forward(request);
+    CHECK(f.controller.queuedRequests() == 1);
+    f.controller.tick(f.now + 10ms);
+    CHECK(f.controller.queuedRequests() == 1);
+  }
+}
+
 TEST_CASE("an owner query is answered with a stored owner hint")
 {
   Fixture f;
