Steering: Keep records of flows for as long as they may be open

Cause: agents dropped records 30 s after the last packet, without regard to the idle timeout of the configuration, and 4 s after the backend server's FIN although the caller had not closed the flow yet.

Change: records stay for a minute, the lifetime of a flow, and until both sides have closed the flow. The map contains the idle timeout. A balancer takes the reply of an agent as uncertain that has run for a shorter time, so that the backend server is asked.

"a long-lived flow uses a slot only while a request is in progress" took a flow for closed after the backend server's FIN alone. PROTOCOL.md: "A flow closes when both ends have sent a FIN." The test now sends both and still demands that the record is dropped after 5 s.

--- a/src/libs/steering/admissioncontroller.h
+++ b/src/libs/steering/admissioncontroller.h
@@ -620,7 +620,7 @@
     }
     if (aPacket.isReset()) {
       mQueue.erase(key);
-      mFlows.markEnded(flow);
+      mFlows.markReset(flow);
     } else if (aPacket.hasPayload() && !flow.isEnded) {
       mFlows.setLongLived(flow, aMessage.isLongLived);
       handleData(aFrom, aMessage, aPacket, flow, aNow);
@@ -791,7 +791,7 @@
     recordFailure(aPacket, flow, aKey, aNow);
     if (aPacket.isReset()) {
       mQueue.erase(aKey);
-      mFlows.markEnded(flow);
+      mFlows.markReset(flow);
       mPendingSyns.erase(aKey);
       deliverQueued(aNow);
       return;
@@ -1033,7 +1033,7 @@
     load.serviceTime = mFlows.reportedServiceTime();
     load.history =
       std::chrono::duration_cast<std::chrono::milliseconds>(aNow - mStartedAt);
-    load.hasFullHistory = load.history >= TargetFlowTable::kIdleTimeout;
+    load.hasFullHistory = load.history >= ReportedLoad::kFullHistoryTime;
     load.isUnavailable = mIsDraining || mEvacuation.isEvacuated() ||
                          mUnansweredSyns >= kUnresponsiveThreshold ||
                          mOutliers.isDown();
--- a/src/libs/steering/agentmessage.h
+++ b/src/libs/steering/agentmessage.h
@@ -79,6 +79,11 @@
 /** An agent's load, reported in each of its messages. */
 struct ReportedLoad
 {
+  /**
+   * After this time an agent has seen a packet of each open flow, unless the
+   * idle timeout is longer.
+   */
+  static constexpr std::chrono::seconds kFullHistoryTime{ 30 };
   static constexpr std::uint16_t kNoSlowStartLimit = 65'535;
 
   /**
@@ -99,10 +104,7 @@
    * without an answer. With isUnavailable it fails all of them.
    */
   bool isEjected = false;
-  /**
-   * The agent has run longer than the idle timeout of flows, so it knows all
-   * open flows.
-   */
+  /** The agent has run for kFullHistoryTime. */
   bool hasFullHistory = false;
   /**
    * For how long the agent has seen all packets of its backend server. It may
--- a/src/libs/steering/fleetmap.h
+++ b/src/libs/steering/fleetmap.h
@@ -191,6 +191,8 @@
   std::uint64_t version() const { return mVersion; }
   /** Increases with each change of the configuration or the targets. */
   const MapRevision& revision() const { return mRevision; }
+  /** Flows without a packet for this time may be discarded; 0 if unknown. */
+  std::chrono::milliseconds idleTimeout() const { return mIdleTimeout; }
   const std::vector<Service>& services() const { return mServices; }
   /** Null if no route has this address. */
   const Route* findRoute(const Core::Endpoint& aAddress) const;
@@ -242,6 +244,7 @@
 
   std::uint64_t mVersion = 0;
   MapRevision mRevision;
+  std::chrono::milliseconds mIdleTimeout{ 0 };
   /** Configurations since this revision are known. */
   MapRevision mHistoryStart;
   Core::TimePoint mHistoryIncompleteUntil{};
--- a/src/libs/steering/fleetmapbuilder.cpp
+++ b/src/libs/steering/fleetmapbuilder.cpp
@@ -21,6 +21,13 @@
   return *this;
 }
 
+FleetMapBuilder&
+FleetMapBuilder::idleTimeout(std::chrono::milliseconds aIdleTimeout)
+{
+  mMap->mIdleTimeout = aIdleTimeout;
+  return *this;
+}
+
 FleetMapBuilder&
 FleetMapBuilder::route(RouteDeclaration aRoute)
 {
--- a/src/libs/steering/fleetmapbuilder.h
+++ b/src/libs/steering/fleetmapbuilder.h
@@ -34,6 +34,7 @@
 
   FleetMapBuilder& version(std::uint64_t aVersion);
   FleetMapBuilder& revision(const MapRevision& aRevision);
+  FleetMapBuilder& idleTimeout(std::chrono::milliseconds aIdleTimeout);
   FleetMapBuilder& route(RouteDeclaration aRoute);
   FleetMapBuilder& target(absl::string_view aService, Target aTarget);
   /** Adds the former services of the routes that were added so far. */
--- a/src/libs/steering/flowsteerer.h
+++ b/src/libs/steering/flowsteerer.h
@@ -131,7 +131,7 @@
         handleOwnerHintReply(body, aNow);
         break;
       case MessageKind::UnknownFlowReply:
-        handleUnknownFlowReply(aFrom, message->reason, body);
+        handleUnknownFlowReply(aFrom, *message, body);
         break;
       case MessageKind::LoadReport:
         mContext.counters.increment(SteeringCounter::LoadReports);
@@ -494,7 +494,7 @@
   }
 
   void handleUnknownFlowReply(const Core::Endpoint& aFrom,
-                              RejectReason aReason,
+                              const AgentMessage& aMessage,
                               absl::Span<const std::uint8_t> aBody)
   {
     const auto reply = OwnerNotice::parse(aBody);
@@ -502,8 +502,9 @@
       mContext.counters.increment(SteeringCounter::PacketsMalformed);
       return;
     }
-    mOwnerSearch.handleUnknownFlow(
-      reply->flow, aFrom, aReason == RejectReason::UnknownFlow);
+    const bool isCertain = aMessage.reason == RejectReason::UnknownFlow &&
+                           mContext.knowsAllFlows(aMessage.load);
+    mOwnerSearch.handleUnknownFlow(reply->flow, aFrom, isCertain);
   }
 
   void handleOwnerHintReply(absl::Span<const std::uint8_t> aBody,
--- a/src/libs/steering/steerercontext.h
+++ b/src/libs/steering/steerercontext.h
@@ -10,11 +10,13 @@
 #include "steering/replyprogress.h"
 #include "steering/retransmissionschedule.h"
 #include "steering/steeringcounters.h"
+#include "steering/targetflowtable.h"
 
 #include "telemetry/eventlog.h"
 
 #include <absl/types/span.h>
 
+#include <algorithm>
 #include <chrono>
 #include <concepts>
 #include <optional>
@@ -83,6 +85,20 @@
   /** Whether another balancer is known to have a newer map. */
   bool isMapOutdated() const { return newestReportedRevision > mapRevision(); }
 
+  /**
+   * Whether an agent that does not know an open flow is certain that its
+   * backend server does not hold it. The flow may have been idle since the
+   * agent started.
+   */
+  bool knowsAllFlows(const ReportedLoad& aReport) const
+  {
+    const auto idleTimeout = std::min<std::chrono::milliseconds>(
+      map->idleTimeout(), TargetFlowTable::kIdleTimeout);
+    return aReport.hasFullHistory &&
+           (idleTimeout <= ReportedLoad::kFullHistoryTime ||
+            aReport.history >= idleTimeout);
+  }
+
   /** Whether the reply of an agent to a message sent at aSentAt is overdue. */
   bool isReplyOverdue(Core::TimePoint aSentAt, Core::TimePoint aNow)
   {
--- a/src/libs/steering/targetflowtable.cpp
+++ b/src/libs/steering/targetflowtable.cpp
@@ -165,6 +165,13 @@
   aFlow.isEnded = true;
 }
 
+void
+TargetFlowTable::markReset(TargetFlow& aFlow)
+{
+  markEnded(aFlow);
+  aFlow.hasCallerClosed = true;
+}
+
 void
 TargetFlowTable::forgetRequest(TargetFlow& aFlow)
 {
@@ -212,7 +219,8 @@
 {
   std::vector<Packet::FlowKey> expired;
   for (auto& [key, flow] : mFlows) {
-    const auto timeout = flow.isEnded ? kEndedFlowRetention : kIdleTimeout;
+    const bool isClosed = flow.isEnded && flow.hasCallerClosed;
+    const auto timeout = isClosed ? kEndedFlowRetention : kIdleTimeout;
     if (aNow - flow.lastPacketAt >= timeout) {
       expired.push_back(key);
       continue;
--- a/src/libs/steering/targetflowtable.h
+++ b/src/libs/steering/targetflowtable.h
@@ -64,7 +64,10 @@
   /** The backend server has sent a packet of the flow. */
   bool isConfirmed = false;
   bool hasCallerData = false;
-  /** The caller has sent a FIN, so it has most likely left. */
+  /**
+   * The caller has sent a FIN, so it has most likely left; or either side has
+   * reset the flow.
+   */
   bool hasCallerClosed = false;
   bool wantsOwnerNotice = false;
   /**
@@ -93,10 +96,14 @@
   static constexpr std::chrono::milliseconds kFirstRequestTimeout{ 100 };
   /** Time after which the caller of an unanswered request has given up. */
   static constexpr std::chrono::seconds kAnswerTimeout{ 10 };
-  /** Longer than the idle timeout of backend servers. */
-  static constexpr std::chrono::seconds kIdleTimeout{ 30 };
   /**
-   * Retransmissions of a flow's last packets arrive within two retransmission
+   * How long a flow without packets is kept. No flow is older than a minute on
+   * the supported platforms, and the idle timeout may be as long.
+   */
+  static constexpr std::chrono::seconds kIdleTimeout{ 60 };
+  /**
+   * How long a flow is kept after both sides have closed it, or one has reset
+   * it. Retransmissions of its last packets arrive within two retransmission
    * intervals.
    */
   static constexpr std::chrono::seconds kEndedFlowRetention{ 4 };
@@ -137,8 +144,13 @@
    * server that returns open flows was restarted; its speed is learned anew.
    */
   void recordReturned(const TargetFlow& aFlow);
-  /** Marks the flow as closed or reset, and releases its slot. */
+  /**
+   * Marks the flow as closed by the backend server, and releases its slot. The
+   * caller may still send packets.
+   */
   void markEnded(TargetFlow& aFlow);
+  /** Marks the flow as reset by either side, and releases its slot. */
+  void markReset(TargetFlow& aFlow);
   /**
    * Removes the flow's newest request, which was not delivered, and its load.
    * The flow stays open; a retransmission of the request counts as a new one.
--- a/tests/auto/platform/tst_mapdecoder.cpp
+++ b/tests/auto/platform/tst_mapdecoder.cpp
@@ -75,6 +75,15 @@
 
 } // namespace
 
+TEST_CASE("the idle timeout of the configuration is decoded")
+{
+  SnapshotBuilder builder;
+  CHECK(builder.decode().map->idleTimeout() == 15s);
+  builder.put("op/config",
+              R"({"version":8,"routes":[],"services":[],"limits":7})");
+  CHECK(builder.decode().map->idleTimeout() == 0s);
+}
+
 TEST_CASE("routes and targets are decoded")
 {
   SnapshotBuilder builder;
--- a/tests/auto/steering/tst_admissioncontroller.cpp
+++ b/tests/auto/steering/tst_admissioncontroller.cpp
@@ -506,6 +506,7 @@
   CHECK(f.controller.inProgress() == 1);
   f.sendAnswer(1, true);
   CHECK(f.controller.inProgress() == 0);
+  f.forward(Fixture::callerFin(1));
   f.now += 5s;
   f.controller.tick(f.now);
   CHECK(f.controller.openFlows() == 0);
@@ -894,7 +895,7 @@
 void
 completeHistory(Fixture& aFixture)
 {
-  aFixture.now += Steering::TargetFlowTable::kIdleTimeout;
+  aFixture.now += Steering::ReportedLoad::kFullHistoryTime;
   aFixture.controller.tick(aFixture.now);
 }
 
@@ -935,6 +936,46 @@
   }
 }
 
+// Guards against the reset of a flow that its caller has not closed yet, and of
+// one that is idle for longer than the time after which an agent knows all
+// flows.
+TEST_CASE("a flow stays known until both sides have closed it")
+{
+  Fixture f;
+  completeHistory(f);
+  f.startRequest(1);
+  SUBCASE("neither side has closed it")
+  {
+    f.sendAnswer(1);
+    f.now += 59s;
+    f.controller.tick(f.now);
+    CHECK(f.queryOwner(1).kind == MessageKind::OwnerNotice);
+  }
+  SUBCASE("the backend server has closed it")
+  {
+    f.sendAnswer(1, true);
+    f.now += 59s;
+    f.controller.tick(f.now);
+    // The backend server is asked.
+    CHECK(f.queryOwner(1).reason == RejectReason::None);
+  }
+  SUBCASE("both sides have closed it")
+  {
+    f.sendAnswer(1, true);
+    f.forward(Fixture::callerFin(1));
+    f.now += Steering::TargetFlowTable::kEndedFlowRetention;
+    f.controller.tick(f.now);
+    CHECK(f.queryOwner(1).reason == RejectReason::UnknownFlow);
+  }
+  SUBCASE("the backend server has reset it")
+  {
+    f.resetByTarget(1);
+    f.now += Steering::TargetFlowTable::kEndedFlowRetention;
+    f.controller.tick(f.now);
+    CHECK(f.queryOwner(1).reason == RejectReason::UnknownFlow);
+  }
+}
+
 TEST_CASE("an owner query is answered with a stored owner hint")
 {
   Fixture f;
--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -82,7 +82,7 @@
     for (const auto& zone : aEvacuatedZones) {
       builder.evacuateZone(zone, { aEra, aRevision });
     }
-    builder.revision({ aEra, aRevision });
+    builder.revision({ aEra, aRevision }).idleTimeout(idleTimeout);
     for (const auto number : aTargets) {
       Steering::Target target;
       target.agent = agent(number);
@@ -388,6 +388,8 @@
   std::set<Core::Endpoint> fullHistoryAgents;
   /** For how long the agents have run; 0 if they do not tell. */
   std::map<Core::Endpoint, std::chrono::milliseconds> histories;
+  /** Of the next map. */
+  std::chrono::milliseconds idleTimeout{ 15'000 };
   /** The targets that are cold in the next map, with a limit of 20. */
   std::set<std::uint8_t> coldTargets;
   /** In all messages of agents. */
@@ -1106,6 +1108,22 @@
   }
 }
 
+// Guards against the reset of a flow that is idle for longer than its agent has
+// run, but not for longer than the configuration allows.
+TEST_CASE("an agent that has not run for the idle timeout is uncertain")
+{
+  Fixture f;
+  f.idleTimeout = 55'000ms;
+  f.setTargets({ 1, 2, 3 }, 2);
+  for (std::uint8_t i = 1; i <= 3; ++i) {
+    f.histories[Fixture::agent(i)] = i == 2 ? 54'000ms : 65'535ms;
+    f.sendReport(Fixture::agent(i), 0, true);
+  }
+  f.searchByForwarding(1);
+  CHECK(f.lastForwardedTo() == Fixture::agent(2));
+  CHECK(f.output.toCallers.empty());
+}
+
 TEST_CASE("a balancer with an outdated map resets no flow")
 {
   Fixture f;
