--- a/tests/auto/steering/tst_flowsteerer.cpp
+++ b/tests/auto/steering/tst_flowsteerer.cpp
@@ -1767,11 +1767,7 @@
 TEST_CASE("a flow whose owner's address was released stays in its service")
 {
   Fixture f;
-  f.sendSyn(1);
-  const auto owner = f.lastForwardedTo();
-  f.sendOwnerNotice(owner, 1, 500);
-  f.acknowledgment = 501;
-  f.sendData(1);
+  const auto owner = f.openFlow(1);
   const auto number = static_cast<std::uint8_t>(owner.address);
   std::vector<std::uint8_t> others{ 1, 2, 3 };
   std::erase(others, number);
