--- /dev/null
+++ b/review/world-3/joiner.cpp
@@ -0,0 +1,160 @@
+// A balancer that has just started is not told of changes for its first 400 ms,
+// takes its map for the newest one, and resets open flows of a new route.
+#include "world.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <cstring>
+
+using namespace World;
+
+namespace {
+
+constexpr int kBalancers = 4;
+constexpr int kServers = 3;
+constexpr int kTrials = 8;
+constexpr int kGraceMs = 6'000;
+
+/** The order in which balancers of a zone become readers of the store. */
+std::uint64_t
+rankOf(std::uint32_t aAddress)
+{
+  std::uint64_t value = aAddress + 0x9E3779B97F4A7C15ULL;
+  value ^= value >> 30U;
+  value *= 0xBF58476D1CE4E5B9ULL;
+  value ^= value >> 27U;
+  value *= 0x94D049BB133111EBULL;
+  return value ^ (value >> 31U);
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount < 4) {
+    return 2;
+  }
+  const char* trouble = std::getenv("TROUBLE");
+  const bool hasTrouble = trouble == nullptr || std::strcmp(trouble, "0") != 0;
+  const char* others = std::getenv("BACKGROUND");
+  const int background = others != nullptr ? std::atoi(others) : 4;
+  Deployment deployment;
+  deployment.net = chooseNet();
+  deployment.directory = aArguments[1];
+  deployment.balancerCommand = aArguments[2];
+  deployment.agentCommand = aArguments[3];
+  deployment.balancers = kBalancers;
+  const auto& net = deployment.net;
+  Store store(net.store(), net.ports.store);
+  std::vector<RouteText> routes{ { 8443, "idempotent", "register" } };
+  int version = 7;
+  store.put("op/config", configText(net, version, routes, { "register" }));
+  std::vector<std::unique_ptr<Server>> servers;
+  std::vector<std::unique_ptr<Process>> agents;
+  const auto born = unixMs();
+  for (int i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<Server>(net, i, "register"));
+    agents.push_back(deployment.agent(i, "register"));
+    agents.back()->start();
+    store.put("servers/" + servers[i]->name(),
+              entryText(net, *servers[i], "ready", born));
+  }
+  std::vector<std::unique_ptr<Process>> balancers;
+  for (int i = 0; i < kBalancers; ++i) {
+    balancers.push_back(deployment.balancer(i));
+    balancers.back()->start();
+  }
+  // The last in the order gets its map from another balancer.
+  std::vector<int> all{ 0, 1, 2, 3 };
+  const int restarted =
+    *std::max_element(all.begin(), all.end(), [&](int aLeft, int aRight) {
+      return rankOf(net.balancer(aLeft)) < rankOf(net.balancer(aRight));
+    });
+  Fabric fabric(net, kBalancers);
+  Client client(net, 0, fabric);
+  std::vector<std::uint16_t> ports;
+  const auto requestAll = [&] {
+    for (const auto port : ports) {
+      client.request(port);
+    }
+  };
+  const auto runUntil = [&](std::int64_t aTime) {
+    while (nowMs() < aTime) {
+      requestAll();
+      sleepMs(std::min<std::int64_t>(100, std::max<std::int64_t>(
+                                            1, aTime - nowMs())));
+    }
+  };
+  int resets = 0;
+  int opened = 0;
+  std::uint16_t port = 41'000;
+  for (int trial = 0; trial < kTrials; ++trial) {
+    if (!fabric.waitForRotation(kBalancers, 10'000)) {
+      note("the balancers did not become ready");
+      return 2;
+    }
+    while (static_cast<int>(ports.size()) < background) {
+      ports.push_back(client.open(8443));
+      sleepMs(20);
+    }
+    runUntil(nowMs() + 4'500);
+    if (hasTrouble) {
+      balancers[restarted]->stop(kGraceMs);
+      if (!fabric.waitForRotation(kBalancers - 1, 5'000)) {
+        note("the stopped balancer stayed in rotation");
+        return 2;
+      }
+      runUntil(nowMs() + 500);
+    }
+    const std::vector<int> rotationBefore = fabric.rotation();
+    do {
+      ++port;
+    } while (fabric.nodeFor(client.address(), port, rotationBefore) ==
+               restarted ||
+             fabric.nodeFor(client.address(), port, all) != restarted);
+    fabric.waitBeforeProbe(restarted);
+    runUntil(nowMs() + 300);
+    const auto startedAt = nowMs();
+    if (hasTrouble) {
+      balancers[restarted]->start();
+    }
+    runUntil(startedAt + 80);
+    const auto routePort = static_cast<std::uint16_t>(9'000 + trial);
+    routes.push_back({ routePort, "idempotent", "register" });
+    store.put("op/config", configText(net, ++version, routes, { "register" }));
+    note("version " + std::to_string(version) + " adds a route to port " +
+         std::to_string(routePort));
+    runUntil(startedAt + 110);
+    client.open(routePort, port);
+    for (const auto end = startedAt + 1'500; nowMs() < end; sleepMs(30)) {
+      client.request(port);
+      requestAll();
+    }
+    const auto flow = client.get(port);
+    opened += flow.answers > 0 ? 1 : 0;
+    resets += flow.hasForeignReset ? 1 : 0;
+    bool isHeld = false;
+    for (const auto& server : servers) {
+      isHeld = isHeld || server->holds(client.address(), port);
+    }
+    note("trial " + std::to_string(trial) + ": flow " + std::to_string(port) +
+         " answers " + std::to_string(flow.answers) + " at " + flow.server +
+         (flow.hasForeignReset ? " RESET BY THE SYSTEM" : "") +
+         (isHeld ? ", still held by its server" : ""));
+  }
+  for (auto& process : balancers) {
+    if (process->hasEndedByItself()) {
+      return 2;
+    }
+  }
+  note(std::to_string(opened) + " flows opened, " + std::to_string(resets) +
+       " of them reset by the system");
+  balancers.clear();
+  agents.clear();
+  if (opened < kTrials / 2) {
+    return 2;
+  }
+  note(resets > 0 ? "FLOW broken" : "FLOW holds");
+  return resets > 0 ? 1 : 0;
+}
