--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -881,6 +881,20 @@
 
 // Callers
 
+namespace {
+
+std::string
+requestId(const ClientFlow& aFlow)
+{
+  const auto& text = aFlow.request.data;
+  const auto begin = text.find("q-");
+  return begin == std::string::npos
+           ? ""
+           : text.substr(begin, text.find("\r\n", begin) - begin);
+}
+
+} // namespace
+
 Client::Client(const Net& aNet, int aIndex, Fabric& aFabric)
   : mNet(aNet)
   , mFabric(aFabric)
@@ -1040,7 +1054,8 @@
     flow.resetAt = nowMs();
     flow.hasForeignReset = flow.isOpen && isForeign;
     note(name + (flow.isOpen ? " (open)" : " (not open)") + " gets a reset " +
-         (isForeign ? "of the system" : "of a server"));
+         (isForeign ? "of the system" : "of a server") +
+         (flow.isWaiting ? ", " + requestId(flow) + " is not answered" : ""));
     return;
   }
   if ((aPacket.flags & (kSyn | kAck)) == (kSyn | kAck)) {
@@ -1060,9 +1075,7 @@
     return;
   }
   flow.peerSeq += aPacket.data.size();
-  const auto id = flow.request.data.substr(
-    flow.request.data.find("q-"),
-    flow.request.data.find("\r\n\r\n") - flow.request.data.find("q-"));
+  const auto id = requestId(flow);
   if (aPacket.data.find("X-Request-Id: " + id + "\r\n") == std::string::npos) {
     note(name + " gets a foreign answer");
   }
