--- a/review/world-3/joiner.cpp
+++ b/review/world-3/joiner.cpp
@@ -39,8 +39,8 @@
   }
   const char* trouble = std::getenv("TROUBLE");
   const bool hasTrouble = trouble == nullptr || std::strcmp(trouble, "0") != 0;
-  const char* others = std::getenv("BACKGROUND");
-  const int background = others != nullptr ? std::atoi(others) : 0;
+  const char* busyFlows = std::getenv("BACKGROUND");
+  const int background = busyFlows != nullptr ? std::atoi(busyFlows) : 0;
   Deployment deployment;
   deployment.net = chooseNet();
   deployment.directory = aArguments[1];
@@ -73,6 +73,8 @@
     *std::max_element(all.begin(), all.end(), [&](int aLeft, int aRight) {
       return rankOf(net.balancer(aLeft)) < rankOf(net.balancer(aRight));
     });
+  std::vector<int> others = all;
+  std::erase(others, restarted);
   Fabric fabric(net, kBalancers);
   Client client(net, 0, fabric);
   std::vector<std::uint16_t> ports;
@@ -109,11 +111,10 @@
       }
       runUntil(nowMs() + 500);
     }
-    const std::vector<int> rotationBefore = fabric.rotation();
     std::vector<std::uint16_t> newPorts;
     while (newPorts.size() < kNewFlows) {
       ++port;
-      if (fabric.nodeFor(client.address(), port, rotationBefore) != restarted &&
+      if (fabric.nodeFor(client.address(), port, others) != restarted &&
           fabric.nodeFor(client.address(), port, all) == restarted) {
         newPorts.push_back(port);
       }
