--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(dirname "$0")
-exec "$here/../world-3/run.sh" "$here" joiner
+exec "$here/../world-3/run.sh" "$here" stalefollower
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(dirname "$0")
-exec "$here/../world-3/run.sh" "$here" stalefollower
+exec "$here/../world-3/run.sh" "$here" newserver
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in oddentry stalefollower joiner newserver; do
+for name in joiner stalefollower newserver; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread \
     "review/world-3/$name.cpp" review/world-3/world.cpp \
     -o "target/review-3/$name"
