--- a/review/world-3/newserver.cpp
+++ b/review/world-3/newserver.cpp
@@ -97,8 +97,8 @@
   const auto runUntil = [&](std::int64_t aTime) {
     while (nowMs() < aTime) {
       requestAll();
-      sleepMs(std::min<std::int64_t>(100, std::max<std::int64_t>(
-                                            1, aTime - nowMs())));
+      sleepMs(std::min<std::int64_t>(
+        100, std::max<std::int64_t>(1, aTime - nowMs())));
     }
   };
   int resets = 0;
@@ -183,9 +183,9 @@
       }
     }
     resets += trialResets;
-    note("trial " + std::to_string(trial) + ": " +
-         std::to_string(trialResets) + " of " +
-         std::to_string(newPorts.size()) + " flows reset by the system");
+    note("trial " + std::to_string(trial) + ": " + std::to_string(trialResets) +
+         " of " + std::to_string(newPorts.size()) +
+         " flows reset by the system");
   }
   for (auto& process : balancers) {
     if (process->hasEndedByItself()) {
--- a/review/world-3/world.cpp
+++ b/review/world-3/world.cpp
@@ -48,8 +48,7 @@
   const int descriptor = socket(AF_INET, aType | SOCK_CLOEXEC, 0);
   const int enabled = 1;
   if (aType == SOCK_STREAM) {
-    setsockopt(
-      descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   }
   const auto address = socketAddress(aAddress, aPort);
   if (::bind(descriptor,
@@ -211,10 +210,15 @@
   const auto mix = [&hash](std::uint32_t aValue) {
     hash = (hash ^ aValue) * 16'777'619U;
   };
-  for (const std::uint32_t value :
-       { 0x5EEDU, std::uint32_t(data.size()), seq, ack,
-         std::uint32_t(flags & ~kBounced), dst, src, std::uint32_t(dport),
-         std::uint32_t(sport) }) {
+  for (const std::uint32_t value : { 0x5EEDU,
+                                     std::uint32_t(data.size()),
+                                     seq,
+                                     ack,
+                                     std::uint32_t(flags & ~kBounced),
+                                     dst,
+                                     src,
+                                     std::uint32_t(dport),
+                                     std::uint32_t(sport) }) {
     mix(value);
   }
   for (const char byte : data) {
@@ -383,7 +387,8 @@
     const auto after = std::strtoull(aQuery["after"].c_str(), nullptr, 10);
     const auto wait = std::strtol(aQuery["waitMs"].c_str(), nullptr, 10);
     const auto hasEvent = [&] {
-      return mIsStopping || (!mEvents.empty() && mEvents.back().revision > after);
+      return mIsStopping ||
+             (!mEvents.empty() && mEvents.back().revision > after);
     };
     mChanged.wait_for(lock, std::chrono::milliseconds(wait), hasEvent);
     text << "{\"events\":[";
@@ -427,18 +432,19 @@
   for (int i = 0; i < 200; ++i) {
     Net net;
     net.base =
-      0x7F000000U | (std::uniform_int_distribution<std::uint32_t>(20, 250)(
-                       random())
-                     << 16U);
+      0x7F000000U |
+      (std::uniform_int_distribution<std::uint32_t>(20, 250)(random()) << 16U);
     const auto first = static_cast<std::uint16_t>(
       std::uniform_int_distribution<int>(20'000, 31'000)(random()));
     const auto port = [first](int aOffset) {
       return static_cast<std::uint16_t>(first + aOffset);
     };
-    net.ports = { port(0), port(1), port(2), port(3), port(4), port(5), port(6) };
+    net.ports = {
+      port(0), port(1), port(2), port(3), port(4), port(5), port(6)
+    };
     bool isFree = true;
-    for (const auto address : { net.balancer(0), net.machine(0), net.client(0),
-                                net.store() }) {
+    for (const auto address :
+         { net.balancer(0), net.machine(0), net.client(0), net.store() }) {
       for (int offset = 0; offset < 22 && isFree; ++offset) {
         for (const int type : { SOCK_DGRAM, SOCK_STREAM }) {
           const int descriptor = bindSocket(type, address, port(offset));
@@ -491,7 +497,8 @@
     std::string("PATH=") +
     (std::getenv("PATH") != nullptr ? std::getenv("PATH") : "/usr/bin:/bin");
   std::vector<char*> environment{ const_cast<char*>(setting.c_str()),
-                                  const_cast<char*>(path.c_str()), nullptr };
+                                  const_cast<char*>(path.c_str()),
+                                  nullptr };
   const auto logFile = mSettingsFile + ".log";
   const pid_t parent = getpid();
   mPid = fork();
@@ -500,8 +507,7 @@
     if (getppid() != parent) {
       _exit(127);
     }
-    const int log =
-      open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, 1);
     dup2(log, 2);
     execve(arguments[0], arguments.data(), environment.data());
@@ -637,8 +643,8 @@
 Server::handle(const Packet& aPacket, const char* aBytes, std::size_t aSize)
 {
   const std::lock_guard lock(mMutex);
-  const auto key = std::make_pair(FlowKey{ aPacket.src, aPacket.sport },
-                                  aPacket.dport);
+  const auto key =
+    std::make_pair(FlowKey{ aPacket.src, aPacket.sport }, aPacket.dport);
   Packet reply;
   reply.src = aPacket.dst;
   reply.sport = aPacket.dport;
@@ -699,13 +705,12 @@
   reply.seq = flow.mySeq;
   reply.ack = flow.expected;
   const auto idAt = aPacket.data.find("X-Request-Id: ");
-  const auto id = aPacket.data.substr(idAt + 14,
-                                      aPacket.data.find("\r\n", idAt) - idAt -
-                                        14);
+  const auto id =
+    aPacket.data.substr(idAt + 14, aPacket.data.find("\r\n", idAt) - idAt - 14);
   const std::string body = "done " + id + "\n";
-  reply.data = "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + mName +
-               "\r\nX-Request-Id: " + id + "\r\nContent-Length: " +
-               std::to_string(body.size()) + "\r\n\r\n" + body;
+  reply.data =
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + mName + "\r\nX-Request-Id: " + id +
+    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   flow.mySeq += reply.data.size();
   flow.answer = reply;
   flow.retries = 0;
@@ -754,8 +759,8 @@
   if (connect(descriptor,
               reinterpret_cast<const sockaddr*>(&address),
               sizeof(address)) == 0) {
-    const std::string call = "GET " + aPath + " HTTP/1.1\r\nHost: " +
-                             formatAddress(aAddress) +
+    const std::string call = "GET " + aPath +
+                             " HTTP/1.1\r\nHost: " + formatAddress(aAddress) +
                              "\r\nConnection: close\r\n\r\n";
     ::send(descriptor, call.data(), call.size(), MSG_NOSIGNAL);
     std::string reply;
@@ -787,8 +792,8 @@
       mNextProbeAt[aIndex] = next;
     }
     while (nowMs() < next && !mIsStopping) {
-      sleepMs(std::min<std::int64_t>(5, std::max<std::int64_t>(
-                                          1, next - nowMs())));
+      sleepMs(
+        std::min<std::int64_t>(5, std::max<std::int64_t>(1, next - nowMs())));
     }
     std::string body;
     const bool isReady =
